--- /dev/null
+++ b/apps/heronshift/main.cpp
@@ -0,0 +1,85 @@
+// The daemon: reads its settings and runs one controller until it is killed.
+#include "heronshift/config.hpp"
+#include "heronshift/node.hpp"
+#include "heronshift/version.hpp"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace {
+
+void set_up_log() {
+    auto log = spdlog::stderr_logger_st("heronshift");
+    log->set_pattern("%L %v");
+    const char* level = std::getenv("LOG_LEVEL");
+    const std::string name = level != nullptr ? level : "info";
+    log->set_level(name == "debug"   ? spdlog::level::debug
+                   : name == "error" ? spdlog::level::err
+                                     : spdlog::level::info);
+    spdlog::set_default_logger(std::move(log));
+}
+
+heronshift::Settings read(const std::string& config, const std::string& operators) {
+    auto s = heronshift::load_settings(config);
+    if (!operators.empty()) s.ops = heronshift::load_operator_settings(operators, s.report_s);
+    return s;
+}
+
+int run(heronshift::Settings s) {
+    std::signal(SIGPIPE, SIG_IGN);
+    auto* loop = uv_default_loop();
+    heronshift::Node node(loop, std::move(s));
+    if (const int e = node.start(); e != 0) {
+        spdlog::error("cannot listen: {}", uv_strerror(e));
+        return 1;
+    }
+    uv_signal_t term;
+    uv_signal_init(loop, &term);
+    term.data = &node;
+    uv_signal_start(
+        &term,
+        [](uv_signal_t* sig, int) {
+            spdlog::info("asked to end");
+            static_cast<heronshift::Node*>(sig->data)->stop();
+            // What is told to the store on the way out gets a moment.
+            static uv_timer_t bye;
+            uv_timer_init(sig->loop, &bye);
+            uv_timer_start(&bye, [](uv_timer_t* t) { uv_stop(t->loop); }, 200, 0);
+        },
+        SIGTERM);
+    uv_run(loop, UV_RUN_DEFAULT);
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"heronshift, a cluster scheduler"};
+    std::string config, operators;
+    app.set_version_flag("--version", std::string("heronshift ") + heronshift::version);
+    app.add_option("--config", config, "the platform's settings (TOML)");
+    app.add_option("--operators", operators, "the operators' own settings (S-expressions), optional");
+    auto* check = app.add_subcommand("check", "validate the settings and print what is in force");
+    check->fallthrough();
+    CLI11_PARSE(app, argc, argv);
+    if (config.empty()) {
+        std::cerr << "heronshift: --config is required\n";
+        return 2;
+    }
+    set_up_log();
+    try {
+        auto s = read(config, operators);
+        if (check->parsed()) {
+            std::cout << heronshift::describe(s);
+            return 0;
+        }
+        return run(std::move(s));
+    } catch (const heronshift::SettingsError& e) {
+        std::cerr << "heronshift: " << e.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/include/heronshift/codec.hpp
@@ -0,0 +1,94 @@
+// The only place that knows the words of the wire. Everything malformed comes back as an error
+// value: a bad submission names its field, a bad answer of a worker, the cloud or the store is
+// treated as no answer.
+#pragma once
+
+#include "heronshift/types.hpp"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace heronshift::codec {
+
+using Json = nlohmann::json;
+
+inline constexpr std::string_view path_jobs = "/v2/runs", path_health = "/up", path_report = "/agent/beat",
+                                  path_commands = "/commands", path_status = "/status",
+                                  path_types = "/machine_types", path_rentals = "/rentals",
+                                  path_release = "/rentals/release", path_store = "/store",
+                                  path_txn = "/txn", path_holds = "/holds", path_follow = "/follow",
+                                  suffix_cancel = "cancel", suffix_extend = "extend";
+
+struct Invalid {
+    std::string why;
+};
+
+// Parses without exceptions; a discarded value means it is not JSON.
+Json parse(std::string_view text);
+
+bool valid_job_id(std::string_view id);
+
+std::variant<JobSpec, Invalid> submission(std::string_view body);
+Json to_json(const JobSpec& s); // as the store keeps it
+std::optional<JobSpec> spec_from_store(const Json& j);
+
+std::string job_answer(const std::string& id, std::string_view status);
+std::string job_answer(const std::string& id, std::string_view status, std::uint64_t done, std::uint64_t running);
+inline constexpr std::string_view status_pending = "pending", status_running = "running", status_done = "done",
+                                  status_cancelled = "withdrawn";
+
+std::optional<Report> report(std::string_view body);
+std::string orders(std::uint64_t fence, const std::vector<Order>& list);
+std::string commands(std::uint64_t fence, std::uint64_t tenure, const std::vector<Order>& list);
+std::string redirect(const std::string& node);
+
+std::optional<std::vector<MachineType>> machine_types(std::string_view body);
+Json types_to_json(const std::vector<MachineType>& types);
+std::string rental(const std::string& claim, const std::string& type, const std::string& zone, bool spot, int count);
+std::optional<std::vector<std::string>> rented(std::string_view body);
+std::string release(const std::vector<std::string>& machines);
+struct MachinePage {
+    std::vector<ListedMachine> machines;
+    bool more = false;
+};
+std::optional<MachinePage> machine_page(std::string_view body);
+
+// Store.
+struct Guard {
+    std::string key;
+    std::uint64_t stamp = 0;
+};
+struct Write {
+    std::string key;
+    std::optional<Json> value; // none: delete
+    std::uint64_t hold = 0;
+};
+struct Item {
+    std::string key;
+    Json value;
+    std::uint64_t stamp = 0;
+    bool deleted = false;
+};
+struct Page {
+    std::vector<Item> items;
+    bool more = false;
+    std::uint64_t epoch = 0;
+};
+std::string txn(const std::vector<Guard>& guards, const std::vector<Write>& writes);
+std::optional<std::uint64_t> epoch_of(std::string_view body);
+std::optional<std::vector<std::string>> failed_guards(std::string_view body);
+std::optional<Item> item(std::string_view body);
+std::optional<Page> page(std::string_view body);
+std::optional<Page> events(std::string_view body);
+std::string hold_request(double ttl_s);
+std::optional<std::uint64_t> hold_of(std::string_view body);
+
+// "wk-000412/3" <-> job and index.
+bool split_task(std::string_view text, std::string& job, std::uint32_t& index);
+std::string task_name(const std::string& job, std::uint32_t index);
+
+} // namespace heronshift::codec
--- /dev/null
+++ b/include/heronshift/core.hpp
@@ -0,0 +1,303 @@
+// The state of the cluster as the holder of the office sees it: jobs, tasks, machines, teams.
+// step(commands, now) -> effects; no I/O, clock or randomness of its own.
+#pragma once
+
+#include "heronshift/codec.hpp"
+#include "heronshift/config.hpp"
+#include "heronshift/placement.hpp"
+#include "heronshift/types.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace heronshift {
+
+// Commands.
+struct JobStored {
+    JobSpec spec;
+    double age_s = 0;
+};
+struct CancelAsked {
+    std::string id;
+    std::uint64_t handle = 0;
+};
+struct Beat {
+    Report report;
+    std::uint64_t handle = 0;
+};
+struct OrdersAnswered {
+    std::string machine;
+    std::uint64_t batch = 0;
+    int status = 0;
+    bool sent = true;
+    std::optional<Report> report;
+};
+enum class TxnOutcome : std::uint8_t { applied, refused, office_lost };
+struct Committed {
+    TxnOutcome outcome = TxnOutcome::applied;
+};
+enum class RentOutcome : std::uint8_t { rented, no_capacity, failed, unknown };
+struct Rented {
+    std::string claim;
+    RentOutcome outcome = RentOutcome::unknown;
+    std::vector<std::string> machines;
+};
+struct Released {
+    std::vector<std::string> machines;
+    bool ok = false;
+};
+struct Listed {
+    std::vector<ListedMachine> machines;
+    double asked_at = 0;
+};
+struct TypesKnown {
+    std::vector<MachineType> types;
+};
+using Command =
+    std::variant<JobStored, CancelAsked, Beat, OrdersAnswered, Committed, Rented, Released, Listed, TypesKnown>;
+
+// Effects.
+struct Commit {
+    std::vector<codec::Write> writes;
+};
+struct SendOrders {
+    std::string machine, addr;
+    std::uint64_t batch = 0, fence = 0, tenure = 0;
+    std::vector<Order> orders;
+};
+struct BeatAnswer {
+    std::uint64_t handle = 0;
+    int status = 200;
+    std::uint64_t fence = 0;
+    std::vector<Order> orders;
+};
+struct CancelAnswer {
+    std::uint64_t handle = 0;
+    std::string status; // empty: unknown to the core
+};
+struct Rent {
+    std::string claim, type, zone;
+    bool spot = false;
+    int count = 0;
+};
+struct Release {
+    std::vector<std::string> machines;
+};
+struct StepDown {
+    std::string why;
+};
+struct Note { // one line for the log
+    int level = 0; // 0 debug, 1 info, 2 warning
+    std::string text;
+};
+using Effect = std::variant<Commit, SendOrders, BeatAnswer, CancelAnswer, Rent, Release, StepDown, Note>;
+
+struct JobView {
+    std::string_view status;
+    std::uint64_t done = 0, running = 0;
+};
+
+// What the store holds at a takeover.
+struct Snapshot {
+    std::vector<codec::Item> jobs, progress, machines;
+};
+
+inline constexpr int fence_bits = 24; // fence = term << fence_bits | raises within the term
+
+class Core {
+public:
+    Core(const Settings& settings, std::uint64_t term, const Snapshot& stored, double now, double wall);
+
+    std::vector<Effect> step(std::vector<Command>& commands, double now, double wall);
+    // When step() wants to be called even if no command comes.
+    [[nodiscard]] double wake_at() const { return wake_at_; }
+
+    // None: not known here, ask the store. An answer is never older than what was told before.
+    [[nodiscard]] std::optional<JobView> view(const std::string& id) const;
+    [[nodiscard]] std::string metrics() const;
+
+    // For tests: what is believed to be on machines.
+    [[nodiscard]] std::size_t live_tasks(const std::string& job) const;
+    [[nodiscard]] std::size_t machine_count() const { return machines_.size(); }
+
+private:
+    enum class Phase : std::uint8_t { intent, storing, stored, sent, fetching, waiting, running, saving };
+    enum class Final : std::uint8_t { none, done, cancelled };
+
+    struct Task {
+        bool done = false, stored = false, queued = false;
+        std::uint8_t live = 0, failures = 0;
+        float saved_s = 0; // progress known to be saved, estimated
+    };
+    struct Job;
+    struct Entry { // one task on one machine, as far as anyone can tell
+        Job* job = nullptr;
+        std::uint32_t index = 0;
+        std::uint64_t try_no = 0, tenure = 0, fence = 0;
+        Phase phase = Phase::intent;
+        bool seen = false;     // in a report of this machine
+        bool stop = false;     // must end
+        bool moving = false;   // stopped to be started elsewhere
+        double drain_s = 0, stop_at = -1, placed_at = 0, running_at = -1;
+    };
+    struct Job {
+        JobSpec spec;
+        int team = -1;
+        double submitted = 0;
+        std::vector<Task> tasks;
+        std::deque<std::uint32_t> pending;
+        std::uint32_t done = 0, live = 0, running = 0;
+        Final final = Final::none;
+        bool final_stored = false, final_queued = false, cancel_asked = false, guaranteed = false;
+        std::vector<std::uint32_t> unstored; // done, not yet in the store
+        bool progress_queued = false, has_record = false; // d/ key in the store
+        double progress_since = 0;
+        std::vector<std::uint32_t> zone_live;
+        std::uint32_t on_pool = 0;
+        std::uint64_t gang_try = 0;
+        bool gang_breaking = false, gang_started = false;
+        double not_before = 0;
+        int error_streak = 0;
+        std::set<std::string> error_machines;
+        bool had_success = false;
+        std::vector<std::uint64_t> cancels;
+        double first_start = -1, room_until = -1;
+    };
+    enum class Status : std::uint8_t { booting, up, lost };
+    struct Machine {
+        std::string id, addr;
+        int type = -1, zone = -1;
+        std::string type_name, zone_name;
+        bool spot = false;
+        Status status = Status::booting;
+        std::uint64_t tenure = 0, counter = 0, fence = 0;
+        double last_seen = -1, known_since = 0, up_since = -1, age_at_known = 0;
+        std::vector<Entry> entries;
+        Resources used, whole;
+        bool record_due = false, recorded = false, record_stale = false;
+        bool draining = false, bad = false, releasing = false, release_asked = false;
+        double release_retry = 0;
+        double notice_until = -1;
+        double empty_since = -1, avoid_until = 0, listed_at = -1;
+        std::map<std::string, double> images; // cached as far as known, with last use
+        std::set<std::string> failed_jobs;
+        std::uint64_t batch = 0; // in flight, 0: none
+        bool wants_orders = false;
+        const void* reserved_for = nullptr; // room is being made for this job; only compared
+        Rank reserved_rank = Rank::low;
+        double reserved_until = -1;
+        double slow = 1; // run time against the estimate of siblings, smoothed
+    };
+    struct Team {
+        TeamLimits limits;
+        Resources used;
+        std::vector<Job*> jobs;
+    };
+    struct Pending { // rentals asked for, not answered
+        std::string type, zone;
+        bool spot = false;
+        int count = 0;
+        double asked = 0;
+        bool in_flight = true;
+    };
+
+    // core.cpp
+    void load(const Snapshot& s, double wall);
+    Job* find_job(const std::string& id);
+    Machine* find_machine(const std::string& id);
+    Machine& learn_machine(const std::string& id, const std::string& addr, const std::string& type,
+                           const std::string& zone, bool spot);
+    void bind_type(Machine& m);
+    void handle(JobStored& c);
+    void handle(CancelAsked& c);
+    void handle(Beat& c);
+    void handle(OrdersAnswered& c);
+    void handle(Committed& c);
+    void handle(Rented& c);
+    void handle(Released& c);
+    void handle(Listed& c);
+    void handle(TypesKnown& c);
+    bool apply_report(Machine& m, const Report& r, std::vector<Order>& reaps);
+    void update_entry(Machine& m, Entry& e, const ReportedTask& t);
+    void task_exited(Machine& m, const Entry& e, const ReportedTask& t);
+    void mark_done(Job& j, std::uint32_t index);
+    bool may_reap(const ReportedTask& t);
+    Entry& add_entry(Machine& m, Job& j, std::uint32_t index, std::uint64_t try_no);
+    void remove_entry(Machine& m, std::size_t at);
+    void queue_task(Job& j, std::uint32_t index, bool front);
+    void break_gang(Job& j);
+    void stop_entry(Machine& m, Entry& e, double drain_s);
+    void finalize(Job& j, Final f);
+    void drop_job(Job& j);
+    void lapse_machines();
+    void collect_commit();
+    void dispatch(Machine& m);
+    std::vector<Order> standing_orders(Machine& m);
+    codec::Write machine_record(const Machine& m) const;
+    codec::Write job_record(Job& j) const;
+    void note(int level, std::string text) { effects_.push_back(Note{level, std::move(text)}); }
+
+    // planning.cpp
+    void schedule();
+    void mark_guarantees();
+    bool usable(const Machine& m, const Job& j) const;
+    double placement_cost(const Machine& m, const Job& j) const;
+    bool is_pool(const Machine& m) const;
+    int quota_room(const Job& j) const;
+    int place_single(Job& j);
+    bool place_gang(Job& j);
+    void place(Job& j, Machine& m);
+    int place_batch(const std::vector<Job*>& batch, int most);
+    bool make_room(Job& j);
+    double loss_of(const Entry& e) const;
+    void plan_capacity();
+    void return_machines();
+    void plan_round();
+    void drain_noticed();
+    void request_record(Machine& m, bool urgent);
+    void queue_rentals(std::map<std::string, Pending>& wanted);
+    std::vector<Job*> waiting_jobs();
+    std::string cheapest_source(const Job& j, std::map<std::string, int>& planned, Pending& out) const;
+
+    const Settings& s_;
+    std::uint64_t term_;
+    double now_, wall_, started_;
+    double wake_at_ = 0, next_tick_ = 0, next_round_ = 0, next_rent_ = 0, next_schedule_ = 0;
+    std::vector<MachineType> types_;
+    std::vector<Team> teams_;
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+    std::map<std::string, std::unique_ptr<Machine>> machines_;
+    std::vector<Effect> effects_;
+    bool dirty_ = true, stepped_down_ = false;
+    std::uint64_t try_seq_ = 0, batch_seq_ = 0, claim_seq_ = 0;
+
+    // The transaction being built and the one in flight.
+    bool txn_open_ = false;
+    double write_tokens_ = 0, tokens_at_ = 0;
+    std::deque<Job*> finals_, progress_;
+    std::deque<std::string> gone_records_, record_queue_;
+    // Final states are immutable, so old ones may be answered from here. It holds more jobs than
+    // a watch can lag behind, so a late event never brings a finished job back.
+    std::unordered_map<std::string, Final> recent_;
+    std::deque<std::string> recent_order_;
+    std::map<std::string, double> released_; // surely gone, whatever a late list or report says
+    struct InFlight {
+        std::vector<std::pair<Job*, Final>> finals, moves;
+        std::vector<std::pair<Job*, std::vector<std::uint32_t>>> progress;
+        std::vector<std::string> machines, gone;
+    } in_flight_;
+
+    std::map<std::string, Pending> rentals_;
+    std::map<std::string, double> no_capacity_; // "type/zone/kind" -> not before
+    Resources common_shape_;
+    std::uint64_t launched_ = 0, lost_ = 0, preempted_ = 0, committed_ = 0, moved_ = 0;
+};
+
+} // namespace heronshift
--- /dev/null
+++ b/include/heronshift/http.hpp
@@ -0,0 +1,103 @@
+// A small HTTP/1.1 server and client on libuv; http-parser reads, this writes.
+#pragma once
+
+#include "heronshift/config.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <http_parser.h>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <uv.h>
+#include <vector>
+
+namespace heronshift {
+
+inline double steady_now(uv_loop_t* loop) {
+    return static_cast<double>(uv_now(loop)) / 1000.0;
+}
+
+struct HttpRequest {
+    std::string method, path, query, body;
+};
+
+class ServerConnection;
+
+// Answers one request; may be kept and used later, also when the connection is gone by then.
+class Responder {
+public:
+    Responder() = default;
+    explicit Responder(std::shared_ptr<ServerConnection> c) : conn_(std::move(c)) {}
+    void send(int status, std::string_view body, int retry_after_s = 0) const;
+
+private:
+    std::shared_ptr<ServerConnection> conn_;
+};
+
+class HttpServer {
+public:
+    using Handler = std::function<void(HttpRequest&&, Responder)>;
+    HttpServer(uv_loop_t* loop, std::size_t most_connections, double idle_s, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    // Returns 0 or a libuv error.
+    int listen(const Endpoint& at);
+    void sweep(); // closes slow and idle connections; call about once a second
+    [[nodiscard]] std::size_t connections() const { return conns_.size(); }
+
+private:
+    friend class ServerConnection;
+    void accept();
+    uv_loop_t* loop_;
+    uv_tcp_t* tcp_ = nullptr;
+    std::size_t most_;
+    double idle_s_;
+    Handler handler_;
+    std::unordered_set<std::shared_ptr<ServerConnection>> conns_;
+};
+
+struct HttpReply {
+    int status = 0; // 0: no answer
+    std::string body;
+    bool sent = false; // false: the request surely never left this node
+};
+
+// Keeps a bounded pool of connections to each address.
+class HttpClient {
+public:
+    using Callback = std::function<void(HttpReply&&)>;
+    HttpClient(uv_loop_t* loop, std::size_t most_per_address, std::size_t most_waiting);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    void request(const std::string& addr, const char* method, const std::string& path, std::string body,
+                 double timeout_s, Callback done);
+    void sweep(); // times requests out; call about ten times a second
+
+    struct Connection;
+
+private:
+    struct Waiting {
+        std::string method, path, body;
+        double deadline = 0;
+        Callback done;
+    };
+    struct Pool {
+        std::vector<Connection*> conns;
+        std::deque<Waiting> waiting;
+    };
+    void pump(const std::string& addr);
+    void finish(Connection* c, HttpReply reply, bool keep);
+    uv_loop_t* loop_;
+    std::size_t most_, most_waiting_;
+    std::unordered_map<std::string, Pool> pools_;
+};
+
+} // namespace heronshift
--- /dev/null
+++ b/include/heronshift/node.hpp
@@ -0,0 +1,134 @@
+// One controller: the loop, its servers and clients, and the queue of commands for the core.
+#pragma once
+
+#include "heronshift/core.hpp"
+#include "heronshift/http.hpp"
+
+#include <map>
+#include <memory>
+
+namespace heronshift {
+
+// A share of a rate that all controllers spend together.
+class RateBudget {
+public:
+    RateBudget(double per_s, double burst) : rate_(per_s), burst_(burst), left_(burst) {}
+    bool take(double now, double n = 1);
+    void set_rate(double per_s, double burst) { rate_ = per_s, burst_ = burst; }
+
+private:
+    double rate_, burst_, left_, at_ = 0;
+};
+
+class Node {
+public:
+    Node(uv_loop_t* loop, Settings settings);
+    ~Node();
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+
+    int start(); // 0 or a libuv error
+    void stop();
+
+private:
+    using Json = codec::Json;
+    enum class Office : std::uint8_t { standby, acquiring, loading, held };
+
+    [[nodiscard]] double now() const;
+    [[nodiscard]] double wall() const;
+
+    // office.cpp: leadership
+    void watch_office();
+    void office_seen(const HttpReply& r);
+    void acquire();
+    void load(const std::string& prefix, const std::string& since, std::vector<codec::Item>* into,
+              std::function<void()> next);
+    void take_office();
+    void renew();
+    void step_down(const std::string& why);
+    [[nodiscard]] bool valid() const { return office_ == Office::held && now() < valid_until_; }
+    void follow_jobs();
+    void commit(Commit c, int tries);
+    void resolve_commit(Commit c, int tries);
+    void after(double delay_s, std::function<void()> f);
+
+    // node.cpp
+    void on_user(HttpRequest&& r, Responder res);
+    void on_peer(HttpRequest&& r, Responder res);
+    void serve(HttpRequest&& r, Responder res, bool forwarded);
+    void submit(HttpRequest&& r, Responder res, bool forwarded);
+    void poll(const std::string& id, Responder res, bool forwarded);
+    void cancel(const std::string& id, HttpRequest&& r, Responder res, bool forwarded);
+    void beat(HttpRequest&& r, Responder res);
+    void forward(HttpRequest&& r, Responder res, std::function<void(Responder)> otherwise);
+    // Fresh reads: the final state if there is one, else whether the job was accepted.
+    struct Found {
+        bool known = false; // the store has answered
+        std::string status; // empty: never accepted
+        std::optional<codec::Item> job;
+    };
+    void look_up(const std::string& id, std::function<void(Found)> done);
+    void store_job(JobSpec spec, Responder res, int tries);
+    void learn_types();
+    [[nodiscard]] std::string impossible(const JobSpec& s) const;
+
+    void store_request(const char* method, const std::string& path, std::string body, double timeout_s,
+                       HttpClient::Callback done);
+    void cloud_pump();
+    void cloud_request(const char* method, std::string path, std::string body, HttpClient::Callback done);
+    void list_machines(const std::string& since);
+
+    void push(Command c) { queue_.push_back(std::move(c)); }
+    void run_core();
+    void perform(Effect& e);
+    void arm();
+    void tick();
+
+    Settings s_;
+    uv_loop_t* loop_;
+    uv_timer_t tick_{}, wake_{};
+    uv_check_t check_{};
+    uv_idle_t idle_{};
+    std::unique_ptr<HttpServer> users_, peers_;
+    HttpClient store_, follow_, cloud_, agents_, peer_client_;
+    RateBudget store_budget_, submit_budget_, cloud_budget_;
+
+    Office office_ = Office::standby;
+    std::string holder_;
+    std::uint64_t hold_ = 0, term_ = 0, office_stamp_ = 0, round_stamp_ = 0, round_seq_ = 0, follow_epoch_ = 0;
+    double ttl_s_, valid_until_ = 0, renew_sent_ = 0, next_renew_ = 0, hold_sent_ = 0;
+    std::uint64_t generation_ = 0; // of the time in office: late answers of an earlier one are dropped
+    Snapshot snapshot_;
+    std::unique_ptr<Core> core_;
+    std::vector<Command> queue_;
+    bool running_core_ = false;
+
+    std::vector<MachineType> types_;
+    bool learning_types_ = false;
+    double next_types_ = 0, next_list_ = 0, types_at_ = -1e9;
+    std::vector<ListedMachine> listing_;
+    double listing_at_ = 0;
+    struct CloudCall {
+        std::string method, path, body;
+        HttpClient::Callback done;
+    };
+    std::deque<CloudCall> cloud_queue_;
+
+    std::uint64_t handle_seq_ = 0;
+    struct Open {
+        Responder res;
+        std::string id;
+        double since = 0;
+    };
+    std::map<std::uint64_t, Open> beats_, cancels_;
+    std::size_t lookups_ = 0;
+    struct Later {
+        double at;
+        std::function<void()> f;
+    };
+    std::vector<Later> later_;
+    std::uint64_t requests_ = 0, refused_ = 0;
+    double next_sweep_ = 0;
+};
+
+} // namespace heronshift
--- /dev/null
+++ b/include/heronshift/version.hpp
@@ -0,0 +1,5 @@
+#pragma once
+
+namespace heronshift {
+inline constexpr const char* version = "0.1.0";
+}
--- /dev/null
+++ b/src/codec.cpp
@@ -0,0 +1,463 @@
+#include "heronshift/codec.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <fmt/format.h>
+
+namespace heronshift::codec {
+namespace {
+
+constexpr std::uint32_t most_tasks = 100'000;
+
+const Json* field(const Json& j, const char* name) {
+    const auto it = j.find(name);
+    return it == j.end() || it->is_null() ? nullptr : &*it;
+}
+
+std::string text(const Json& j, const char* name, std::string fallback = {}) {
+    const auto* f = field(j, name);
+    return f != nullptr && f->is_string() ? f->get<std::string>() : fallback;
+}
+
+bool flag(const Json& j, const char* name) {
+    const auto* f = field(j, name);
+    return f != nullptr && f->is_boolean() && f->get<bool>();
+}
+
+double number(const Json& j, const char* name, double fallback = 0) {
+    const auto* f = field(j, name);
+    return f != nullptr && f->is_number() ? f->get<double>() : fallback;
+}
+
+bool count(const Json& j, const char* name, std::uint64_t& out) {
+    const auto* f = field(j, name);
+    if (f == nullptr || !f->is_number_unsigned()) return false;
+    out = f->get<std::uint64_t>();
+    return true;
+}
+
+// Reads a submission field by field; the first complaint is kept.
+struct FieldReader {
+    const Json& j;
+    std::string error;
+
+    void complain(const char* name, const char* what) {
+        if (error.empty()) error = fmt::format("{}: {}", name, what);
+    }
+    std::string text(const char* name, bool required, std::size_t most = 200) {
+        const auto* f = field(j, name);
+        if (f == nullptr) {
+            if (required) complain(name, "is missing");
+            return {};
+        }
+        if (!f->is_string()) return complain(name, "must be a string"), std::string();
+        auto s = f->get<std::string>();
+        if (s.size() > most) complain(name, "is too long");
+        if (required && s.empty()) complain(name, "must not be empty");
+        return s;
+    }
+    double number(const char* name, bool required, double fallback, bool positive = false) {
+        const auto* f = field(j, name);
+        if (f == nullptr) {
+            if (required) complain(name, "is missing");
+            return fallback;
+        }
+        if (!f->is_number()) return complain(name, "must be a number"), fallback;
+        const double v = f->get<double>();
+        if (!std::isfinite(v) || v < 0 || v > 1e12) complain(name, "is out of range");
+        else if (positive && v <= 0) complain(name, "must be above 0");
+        return v;
+    }
+    bool flag(const char* name) {
+        const auto* f = field(j, name);
+        if (f == nullptr) return false;
+        if (!f->is_boolean()) return complain(name, "must be true or false"), false;
+        return f->get<bool>();
+    }
+};
+
+std::optional<Shape> shape_of(const std::string& s) {
+    if (s == "array") return Shape::array;
+    if (s == "gang") return Shape::gang;
+    if (s == "daemon") return Shape::service;
+    return {};
+}
+const char* name_of(Shape s) {
+    return s == Shape::array ? "array" : s == Shape::gang ? "gang" : "daemon";
+}
+std::optional<Rank> rank_of(const std::string& s) {
+    if (s == "critical") return Rank::critical;
+    if (s == "high") return Rank::high;
+    if (s == "normal") return Rank::normal;
+    if (s == "low") return Rank::low;
+    return {};
+}
+const char* name_of(Rank r) {
+    return r == Rank::critical ? "critical" : r == Rank::high ? "high" : r == Rank::normal ? "normal" : "low";
+}
+
+std::optional<TaskState> state_of(const std::string& s) {
+    if (s == "fetching") return TaskState::fetching;
+    if (s == "gathering") return TaskState::waiting;
+    if (s == "running") return TaskState::running;
+    if (s == "saving") return TaskState::saving;
+    if (s == "ended") return TaskState::ended;
+    return {};
+}
+
+ExitCause cause_of(const std::string& s) {
+    if (s == "done") return ExitCause::done;
+    if (s == "stopped") return ExitCause::stopped;
+    if (s == "mates_gone") return ExitCause::peers;
+    if (s == "incomplete") return ExitCause::alone;
+    if (s == "error") return ExitCause::error;
+    if (s == "no_room") return ExitCause::no_room;
+    if (s == "in_use") return ExitCause::busy;
+    return ExitCause::unknown;
+}
+
+std::variant<JobSpec, Invalid> read_spec(const Json& j) {
+    FieldReader r{j, {}};
+    JobSpec s;
+    s.id = r.text("id", true);
+    if (r.error.empty() && !valid_job_id(s.id)) r.complain("id", "must have the form wk-000412");
+    s.job_class = r.text("jobclass", true);
+    s.team = r.text("owner", true);
+    if (const auto shape = shape_of(r.text("shape", true)); shape) s.shape = *shape;
+    else r.complain("shape", "must be array, gang or daemon");
+    if (const auto rank = rank_of(r.text("rank", true)); rank) s.rank = *rank;
+    else r.complain("rank", "must be critical, high, normal or low");
+    if (std::uint64_t n = 0; field(j, "shards") == nullptr) r.complain("shards", "is missing");
+    else if (!count(j, "shards", n) || n < 1 || n > most_tasks)
+        r.complain("shards", "must be a whole number from 1 to 100000");
+    else s.tasks = static_cast<std::uint32_t>(n);
+    s.each.cpus = r.number("cpus", true, 0, true);
+    s.each.gpus = r.number("accelerators", false, 0);
+    s.each.memory_gb = r.number("memGb", true, 0, true);
+    s.image = r.text("bundle", true);
+    s.image_gb = r.number("imageGb", true, 0);
+    if (const auto* f = field(j, "flavors"); f != nullptr) {
+        if (!f->is_array()) r.complain("flavors", "must be an array of strings");
+        else
+            for (const auto& e : *f) {
+                if (!e.is_string()) r.complain("flavors", "must be an array of strings");
+                else s.types.push_back(e.get<std::string>());
+            }
+        if (f->is_array() && f->empty()) r.complain("flavors", "must not be empty");
+    }
+    s.zone = r.text("yard", false);
+    s.one_zone = r.flag("together");
+    s.spread = r.flag("scatter");
+    s.spot = r.flag("standby");
+    s.estimate_s = r.number("expectedS", false, 0);
+    s.checkpoint_s = r.number("snapshotEveryS", false, 0);
+    s.save_s = r.number("snapshotS", false, 0);
+    s.deadline_s = r.number("dueS", false, -1);
+    if (!r.error.empty()) return Invalid{r.error};
+    return s;
+}
+
+} // namespace
+
+Json parse(std::string_view text) {
+    return Json::parse(text.begin(), text.end(), nullptr, false);
+}
+
+bool valid_job_id(std::string_view id) {
+    if (!id.starts_with("wk-") || id.size() < 4 || id.size() > 40) return false;
+    for (const char c : id.substr(3))
+        if (c < '0' || c > '9') return false;
+    return true;
+}
+
+std::variant<JobSpec, Invalid> submission(std::string_view body) {
+    const auto j = parse(body);
+    if (j.is_discarded()) return Invalid{"not JSON"};
+    if (!j.is_object()) return Invalid{"not an object"};
+    return read_spec(j);
+}
+
+Json to_json(const JobSpec& s) {
+    Json j{{"id", s.id},           {"jobclass", s.job_class}, {"owner", s.team},
+           {"shape", name_of(s.shape)}, {"rank", name_of(s.rank)}, {"shards", s.tasks},
+           {"cpus", s.each.cpus},  {"memGb", s.each.memory_gb}, {"bundle", s.image},
+           {"imageGb", s.image_gb}};
+    if (s.each.gpus > 0) j["accelerators"] = s.each.gpus;
+    if (!s.types.empty()) j["flavors"] = s.types;
+    if (!s.zone.empty()) j["yard"] = s.zone;
+    if (s.one_zone) j["together"] = true;
+    if (s.spread) j["scatter"] = true;
+    if (s.spot) j["standby"] = true;
+    if (s.estimate_s > 0) j["expectedS"] = s.estimate_s;
+    if (s.checkpoint_s > 0) j["snapshotEveryS"] = s.checkpoint_s;
+    if (s.save_s > 0) j["snapshotS"] = s.save_s;
+    if (s.deadline_s >= 0) j["dueS"] = s.deadline_s;
+    return j;
+}
+
+std::optional<JobSpec> spec_from_store(const Json& j) {
+    if (!j.is_object()) return {};
+    auto r = read_spec(j);
+    if (auto* s = std::get_if<JobSpec>(&r)) return std::move(*s);
+    return {};
+}
+
+std::string job_answer(const std::string& id, std::string_view status) {
+    return fmt::format(R"({{"id":"{}","status":"{}"}})", id, status);
+}
+
+std::string job_answer(const std::string& id, std::string_view status, std::uint64_t done, std::uint64_t running) {
+    return fmt::format(R"({{"id":"{}","status":"{}","done":{},"running":{}}})", id, status, done, running);
+}
+
+bool split_task(std::string_view text, std::string& job, std::uint32_t& index) {
+    const auto slash = text.rfind('/');
+    if (slash == std::string_view::npos) return false;
+    const auto* end = text.data() + text.size();
+    const auto [p, ec] = std::from_chars(text.data() + slash + 1, end, index);
+    if (ec != std::errc() || p != end || index >= most_tasks) return false;
+    job = text.substr(0, slash);
+    return valid_job_id(job);
+}
+
+std::string task_name(const std::string& job, std::uint32_t index) {
+    return job + "/" + std::to_string(index);
+}
+
+std::optional<Report> report(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    Report r;
+    r.machine = text(j, "host");
+    r.addr = text(j, "addr");
+    r.type = text(j, "flavor");
+    r.zone = text(j, "yard");
+    r.spot = flag(j, "standby");
+    if (r.machine.empty() || r.machine.size() > 100 || !count(j, "tenure", r.tenure) ||
+        !count(j, "counter", r.counter))
+        return {};
+    count(j, "fence", r.fence);
+    r.notice_s = number(j, "evictionInS", -1);
+    const auto* tasks = field(j, "shards");
+    if (tasks == nullptr) return r;
+    if (!tasks->is_array()) return {};
+    for (const auto& e : *tasks) {
+        if (!e.is_object()) return {};
+        ReportedTask t;
+        const auto state = state_of(text(e, "status"));
+        if (!split_task(text(e, "shard"), t.job, t.index) || !count(e, "try", t.try_no) || !state) return {};
+        t.state = *state;
+        if (t.state == TaskState::ended) t.cause = cause_of(text(e, "exitCause"));
+        t.saved = flag(e, "stored");
+        r.tasks.push_back(std::move(t));
+    }
+    return r;
+}
+
+namespace {
+void append_orders(std::string& out, const std::vector<Order>& list) {
+    out += R"("orders":[)";
+    bool first = true;
+    for (const auto& o : list) {
+        if (!first) out += ',';
+        first = false;
+        const char* verb = o.verb == Verb::launch ? "launch" : o.verb == Verb::stop ? "stop" : "reap";
+        out += fmt::format(R"({{"verb":"{}","shard":"{}/{}","try":{})", verb, o.job, o.index, o.try_no);
+        if (o.verb == Verb::stop) out += fmt::format(R"(,"drainS":{})", o.drain_s);
+        out += '}';
+    }
+    out += "]}";
+}
+} // namespace
+
+std::string orders(std::uint64_t fence, const std::vector<Order>& list) {
+    auto out = fmt::format(R"({{"fence":{},)", fence);
+    append_orders(out, list);
+    return out;
+}
+
+std::string commands(std::uint64_t fence, std::uint64_t tenure, const std::vector<Order>& list) {
+    auto out = fmt::format(R"({{"fence":{},"tenure":{},)", fence, tenure);
+    append_orders(out, list);
+    return out;
+}
+
+std::string redirect(const std::string& node) {
+    return Json{{"reportsTo", node}}.dump();
+}
+
+std::optional<std::vector<MachineType>> machine_types(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    const auto* list = field(j, "flavors");
+    if (list == nullptr || !list->is_array()) return {};
+    std::vector<MachineType> out;
+    for (const auto& e : *list) {
+        if (!e.is_object()) return {};
+        MachineType t;
+        t.name = text(e, "name");
+        t.room = {number(e, "cpus"), number(e, "accelerators"), number(e, "memGb")};
+        t.cache_gb = number(e, "cacheGb");
+        t.fetch_gb_per_s = number(e, "fetchGbPerS", 1);
+        t.price = number(e, "rate");
+        t.spot_price = number(e, "lowPrice", t.price);
+        t.boot_s = number(e, "bootS", 60);
+        if (const auto* z = field(e, "yards"); z != nullptr && z->is_array())
+            for (const auto& zone : *z)
+                if (zone.is_string()) t.zones.push_back(zone.get<std::string>());
+        if (t.name.empty() || !(t.room.cpus > 0) || !(t.fetch_gb_per_s > 0)) return {};
+        out.push_back(std::move(t));
+    }
+    if (out.empty()) return {};
+    return out;
+}
+
+Json types_to_json(const std::vector<MachineType>& types) {
+    Json list = Json::array();
+    for (const auto& t : types)
+        list.push_back({{"name", t.name},
+                        {"cpus", t.room.cpus},
+                        {"accelerators", t.room.gpus},
+                        {"memGb", t.room.memory_gb},
+                        {"cacheGb", t.cache_gb},
+                        {"fetchGbPerS", t.fetch_gb_per_s},
+                        {"rate", t.price},
+                        {"lowPrice", t.spot_price},
+                        {"bootS", t.boot_s},
+                        {"yards", t.zones}});
+    return {{"flavors", list}};
+}
+
+std::string rental(const std::string& claim, const std::string& type, const std::string& zone, bool spot, int n) {
+    return Json{{"claim", claim}, {"flavor", type}, {"yard", zone}, {"standby", spot}, {"number", n}}.dump();
+}
+
+std::optional<std::vector<std::string>> rented(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    const auto* list = field(j, "hosts");
+    if (list == nullptr || !list->is_array()) return {};
+    std::vector<std::string> out;
+    for (const auto& e : *list) {
+        if (!e.is_string()) return {};
+        out.push_back(e.get<std::string>());
+    }
+    return out;
+}
+
+std::string release(const std::vector<std::string>& machines) {
+    return Json{{"hosts", machines}}.dump();
+}
+
+std::optional<MachinePage> machine_page(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    const auto* list = field(j, "hosts");
+    if (list == nullptr || !list->is_array()) return {};
+    MachinePage p;
+    p.more = flag(j, "more");
+    for (const auto& e : *list) {
+        if (!e.is_object()) return {};
+        ListedMachine m{text(e, "id"),     text(e, "addr"),     text(e, "flavor"), text(e, "yard"),
+                        text(e, "status"), flag(e, "standby"), number(e, "ageS")};
+        if (m.id.empty()) return {};
+        p.machines.push_back(std::move(m));
+    }
+    return p;
+}
+
+std::string txn(const std::vector<Guard>& guards, const std::vector<Write>& writes) {
+    Json g = Json::array(), w = Json::array();
+    for (const auto& x : guards) g.push_back({{"k", x.key}, {"stamp", x.stamp}});
+    for (const auto& x : writes) {
+        if (!x.value) {
+            w.push_back({{"delete", x.key}});
+            continue;
+        }
+        Json e{{"set", x.key}, {"data", *x.value}};
+        if (x.hold != 0) e["lease"] = x.hold;
+        w.push_back(std::move(e));
+    }
+    Json j{{"guards", std::move(g)}};
+    if (!writes.empty()) j["writes"] = std::move(w);
+    return j.dump();
+}
+
+std::optional<std::uint64_t> epoch_of(std::string_view body) {
+    const auto j = parse(body);
+    std::uint64_t e = 0;
+    if (!j.is_object() || !count(j, "epoch", e)) return {};
+    return e;
+}
+
+std::optional<std::vector<std::string>> failed_guards(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    const auto* list = field(j, "failed");
+    if (list == nullptr || !list->is_array()) return {};
+    std::vector<std::string> out;
+    for (const auto& e : *list)
+        if (e.is_string()) out.push_back(e.get<std::string>());
+    return out;
+}
+
+namespace {
+std::optional<Item> read_item(const Json& e, const char* key_name) {
+    if (!e.is_object()) return {};
+    Item i;
+    i.key = text(e, key_name);
+    if (i.key.empty() || !count(e, "stamp", i.stamp)) return {};
+    if (const auto* v = field(e, "data"); v != nullptr) i.value = *v;
+    return i;
+}
+} // namespace
+
+std::optional<Item> item(std::string_view body) {
+    return read_item(parse(body), "k");
+}
+
+std::optional<Page> page(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    const auto* list = field(j, "entries");
+    Page p;
+    if (list == nullptr || !list->is_array() || !count(j, "epoch", p.epoch)) return {};
+    p.more = flag(j, "more");
+    for (const auto& e : *list) {
+        auto i = read_item(e, "k");
+        if (!i) return {};
+        p.items.push_back(std::move(*i));
+    }
+    return p;
+}
+
+std::optional<Page> events(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    const auto* list = field(j, "events");
+    Page p;
+    if (!count(j, "epoch", p.epoch)) return {};
+    if (list == nullptr) return p;
+    if (!list->is_array()) return {};
+    for (const auto& e : *list) {
+        const bool gone = e.is_object() && e.contains("delete");
+        auto i = read_item(e, gone ? "delete" : "set");
+        if (!i) return {};
+        i->deleted = gone;
+        p.items.push_back(std::move(*i));
+    }
+    return p;
+}
+
+std::string hold_request(double ttl_s) {
+    return Json{{"ttlMs", static_cast<std::uint64_t>(ttl_s * 1000)}}.dump();
+}
+
+std::optional<std::uint64_t> hold_of(std::string_view body) {
+    const auto j = parse(body);
+    std::uint64_t h = 0;
+    if (!j.is_object() || !count(j, "lease", h)) return {};
+    return h;
+}
+
+} // namespace heronshift::codec
--- /dev/null
+++ b/src/config.cpp
@@ -0,0 +1,287 @@
+#include "heronshift/config.hpp"
+
+#include <cmath>
+#include <fmt/format.h>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include <sfsexp/sexp.h>
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+namespace heronshift {
+namespace {
+
+class Reader {
+public:
+    explicit Reader(std::string path) : path_(std::move(path)) {}
+
+    [[noreturn]] void fail(const std::string& field, const std::string& what) const {
+        throw SettingsError(fmt::format("{}: {}: {}", path_, field, what));
+    }
+
+    std::string text(const toml::table& t, const std::string& at, const char* key) const {
+        const auto* n = t.get(key);
+        if (n == nullptr) fail(at + key, "is missing");
+        auto v = n->value_exact<std::string>();
+        if (!v || v->empty()) fail(at + key, "must be a non-empty string");
+        return *v;
+    }
+
+    double number(const toml::table& t, const std::string& at, const char* key, double least,
+                  bool open = false) const {
+        const auto* n = t.get(key);
+        if (n == nullptr) fail(at + key, "is missing");
+        if (!n->is_number()) fail(at + key, "must be a number");
+        const double v = n->value<double>().value_or(NAN);
+        if (!std::isfinite(v)) fail(at + key, "must be finite");
+        if (v < least || (open && v <= least))
+            fail(at + key, fmt::format("must be {} {}", open ? "above" : "at least", least));
+        return v;
+    }
+
+    const toml::table& table(const toml::table& t, const std::string& at, const char* key) const {
+        const auto* n = t.get(key);
+        if (n == nullptr) fail(at + key, "is missing");
+        if (!n->is_table()) fail(at + key, "must be a table");
+        return *n->as_table();
+    }
+
+    template <class F> void each(const toml::table& t, const std::string& at, const char* key, F f) const {
+        const auto* n = t.get(key);
+        if (n == nullptr) return;
+        if (!n->is_array()) fail(at + key, "must be an array of tables");
+        std::size_t i = 0;
+        for (const auto& e : *n->as_array()) {
+            const auto where = fmt::format("{}{}[{}].", at, key, i++);
+            if (!e.is_table()) fail(where, "must be a table");
+            f(*e.as_table(), where);
+        }
+    }
+
+    Endpoint endpoint(const toml::table& t, const std::string& at, const char* key) const {
+        const auto s = text(t, at, key);
+        const auto colon = s.rfind(':');
+        if (colon == std::string::npos || colon == 0) fail(at + key, "must be ADDRESS:PORT");
+        int port = 0;
+        for (char c : s.substr(colon + 1)) {
+            if (c < '0' || c > '9' || port > 65535) fail(at + key, "has a bad port");
+            port = port * 10 + (c - '0');
+        }
+        if (port < 1 || port > 65535) fail(at + key, "has a bad port");
+        return {s.substr(0, colon), port};
+    }
+
+private:
+    std::string path_;
+};
+
+// One setting of the operators' file: (name value).
+struct OperatorField {
+    const char* name;
+    double OperatorSettings::*number = nullptr;
+    int OperatorSettings::*count = nullptr;
+    bool OperatorSettings::*flag = nullptr;
+    double least = 0;
+};
+
+const OperatorField operator_fields[] = {
+    {.name = "alpha", .number = &OperatorSettings::alpha},
+    {.name = "beta", .number = &OperatorSettings::beta},
+    {.name = "gamma", .number = &OperatorSettings::gamma},
+    {.name = "target-share", .number = &OperatorSettings::target_share},
+    {.name = "pull-back-cap", .count = &OperatorSettings::pull_back_cap},
+    {.name = "reorder-cap", .count = &OperatorSettings::reorder_cap},
+    {.name = "round-s", .number = &OperatorSettings::round_s},
+    {.name = "batch", .count = &OperatorSettings::batch, .least = 1},
+    {.name = "headroom", .number = &OperatorSettings::headroom},
+    {.name = "empty-s", .number = &OperatorSettings::empty_s},
+    {.name = "direct-commands", .flag = &OperatorSettings::direct_commands},
+};
+
+std::string slurp(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) throw SettingsError(path + ": cannot be read");
+    std::ostringstream s;
+    s << in.rdbuf();
+    return s.str();
+}
+
+std::string atom(const sexp_t* e) {
+    return (e != nullptr && e->ty == SEXP_VALUE && e->val != nullptr) ? e->val : "";
+}
+
+void apply(OperatorSettings& o, const std::string& path, const std::string& name, const std::string& value) {
+    auto fail = [&](const std::string& what) { throw SettingsError(path + ": " + name + ": " + what); };
+    for (const auto& f : operator_fields) {
+        if (name != f.name) continue;
+        if (f.flag != nullptr) {
+            if (value != "yes" && value != "no") fail("must be yes or no");
+            o.*f.flag = value == "yes";
+            return;
+        }
+        char* end = nullptr;
+        const double v = std::strtod(value.c_str(), &end);
+        if (value.empty() || *end != 0 || !std::isfinite(v)) fail("must be a finite number");
+        if (v < f.least) fail(fmt::format("must be at least {}", f.least));
+        if (f.count != nullptr) {
+            if (v != std::floor(v) || v > 1e6) fail("must be a whole number");
+            o.*f.count = static_cast<int>(v);
+        } else {
+            o.*f.number = v;
+        }
+        return;
+    }
+    fail("is not a known setting");
+}
+
+} // namespace
+
+OperatorSettings load_operator_settings(const std::string& path, double report_s) {
+    OperatorSettings o;
+    auto text = slurp(path);
+    // Comments run from ; to the end of the line.
+    for (std::size_t i = 0; i < text.size(); ++i)
+        if (text[i] == ';')
+            while (i < text.size() && text[i] != '\n') text[i++] = ' ';
+    long depth = 0;
+    for (char c : text) {
+        depth += c == '(' ? 1 : c == ')' ? -1 : 0;
+        if (depth < 0) break;
+    }
+    if (depth != 0) throw SettingsError(path + ": parentheses do not match");
+    sexp_t* root = parse_sexp(text.data(), text.size());
+    if (root == nullptr || root->ty != SEXP_LIST) throw SettingsError(path + ": not an S-expression");
+    struct Free {
+        sexp_t* s;
+        ~Free() {
+            destroy_sexp(s);
+            sexp_cleanup();
+        }
+    } freed{root};
+    if (atom(root->list) != "heronshift") throw SettingsError(path + ": must start with (heronshift");
+    std::set<std::string> seen;
+    for (auto* e = root->list->next; e != nullptr; e = e->next) {
+        if (e->ty != SEXP_LIST) throw SettingsError(path + ": " + atom(e) + ": must be (name value)");
+        const auto name = atom(e->list);
+        const auto* value = e->list != nullptr ? e->list->next : nullptr;
+        if (value == nullptr || value->next != nullptr)
+            throw SettingsError(path + ": " + name + ": must be (name value)");
+        if (!seen.insert(name).second) throw SettingsError(path + ": " + name + ": is given twice");
+        apply(o, path, name, atom(value));
+    }
+    auto need = [&](bool ok, const char* name, const char* what) {
+        if (!ok) throw SettingsError(path + ": " + name + ": " + what);
+    };
+    need(o.beta < o.alpha, "beta", "must be below alpha");
+    need(o.gamma >= 5 * o.alpha, "gamma", "must be far above alpha (five times at least)");
+    need(o.target_share <= 1, "target-share", "must be at most 1");
+    need(o.round_s >= report_s, "round-s", "must be at least report_s");
+    need(o.batch <= 8, "batch", "must be at most 8");
+    return o;
+}
+
+Settings load_settings(const std::string& path) {
+    slurp(path);
+    toml::table t;
+    try {
+        t = toml::parse_file(path);
+    } catch (const toml::parse_error& e) {
+        throw SettingsError(
+            fmt::format("{}:{}: {}", path, e.source().begin.line, std::string(e.description())));
+    }
+    const Reader r(path);
+    Settings s;
+    s.name = r.text(t, "", "host_name");
+    s.zone = r.text(t, "", "zone");
+    s.listen = r.endpoint(t, "", "bind");
+    s.peer_listen = r.endpoint(t, "", "back");
+    std::set<std::string> names{s.name};
+    r.each(t, "", "others", [&](const toml::table& e, const std::string& at) {
+        s.peers.push_back({r.text(e, at, "host_name"), r.text(e, at, "zone"), r.endpoint(e, at, "peer_addr")});
+        if (!names.insert(s.peers.back().name).second) r.fail(at + "host_name", "is given twice");
+    });
+    const auto& ext = r.table(t, "", "external");
+    s.cloud = r.endpoint(ext, "external.", "cloud");
+    s.state = r.endpoint(ext, "external.", "state");
+    const auto& f = r.table(t, "", "facts");
+    if (const auto* z = f.get("zones"); z != nullptr) {
+        if (!z->is_array()) r.fail("facts.zones", "must be an array");
+        for (const auto& e : *z->as_array()) {
+            if (!e.is_string()) r.fail("facts.zones", "must hold strings");
+            s.zones.push_back(**e.as_string());
+        }
+    }
+    s.time_bound_s = r.number(f, "facts.", "time_bound_ms", 0) / 1000;
+    std::set<std::string> teams;
+    r.each(f, "facts.", "teams", [&](const toml::table& e, const std::string& at) {
+        TeamLimits l;
+        l.name = r.text(e, at, "name");
+        l.cpus = r.number(e, at, "cpus", 0);
+        l.cpus_max = r.number(e, at, "cpus_max", 0);
+        l.gpus = r.number(e, at, "gpus", 0);
+        l.gpus_max = r.number(e, at, "gpus_max", 0);
+        if (!teams.insert(l.name).second) r.fail(at + "name", "is given twice");
+        if (l.cpus_max > 0 && l.cpus > l.cpus_max) r.fail(at + "cpus", "is above cpus_max");
+        if (l.gpus_max > 0 && l.gpus > l.gpus_max) r.fail(at + "gpus", "is above gpus_max");
+        s.teams.push_back(l);
+    });
+    r.each(f, "facts.", "objectives", [&](const toml::table& e, const std::string& at) {
+        Objective o;
+        o.kind = r.text(e, at, "kind");
+        o.job_class = e["class"].value_or(std::string());
+        o.within_s = e["within_s"].value_or(0.0);
+        o.share = e["share"].value_or(0.0);
+        o.times = e["times"].value_or(0.0);
+        s.objectives.push_back(o);
+    });
+    const auto& w = r.table(f, "facts.", "workers");
+    const std::string at = "facts.workers.";
+    s.report_s = r.number(w, at, "report_s", 0, true);
+    s.lease_s = r.number(w, at, "lease_s", 0, true);
+    s.gang_wait_s = r.number(w, at, "gang_wait_s", 0, true);
+    s.gang_peer_s = r.number(w, at, "gang_peer_s", 0, true);
+    s.cancel_s = r.number(w, at, "cancel_s", 0, true);
+    if (s.lease_s < 2 * s.report_s) r.fail(at + "lease_s", "must be at least twice report_s");
+    const auto& st = r.table(f, "facts.", "state");
+    s.state_rps = r.number(st, "facts.state.", "rps", 0, true);
+    s.state_write_rps = r.number(st, "facts.state.", "write_rps", 0, true);
+    s.value_kb = r.number(st, "facts.state.", "value_kb", 1);
+    s.txn_ops = static_cast<int>(r.number(st, "facts.state.", "txn_ops", 4));
+    const auto& c = r.table(f, "facts.", "cloud");
+    s.cloud_rps = r.number(c, "facts.cloud.", "rps", 0, true);
+    s.list_lag_s = r.number(c, "facts.cloud.", "list_lag_s", 0);
+    const auto& l = r.table(f, "facts.", "resources");
+    s.cores = r.number(l, "facts.resources.", "cores", 0, true);
+    s.memory_mb = r.number(l, "facts.resources.", "mem_mb", 16);
+    s.fd_limit = static_cast<int>(r.number(l, "facts.resources.", "fd_limit", 64));
+    return s;
+}
+
+std::string describe(const Settings& s) {
+    std::string out;
+    auto line = [&](const std::string& k, const auto& v) { out += fmt::format("{} = {}\n", k, v); };
+    line("host_name", s.name);
+    line("zone", s.zone);
+    line("bind", s.listen.str());
+    line("back", s.peer_listen.str());
+    for (const auto& p : s.peers) line("others." + p.name, p.addr.str());
+    line("external.cloud", s.cloud.str());
+    line("external.state", s.state.str());
+    line("facts.teams", s.teams.size());
+    line("facts.workers.report_s", s.report_s);
+    line("facts.workers.lease_s", s.lease_s);
+    line("facts.workers.cancel_s", s.cancel_s);
+    line("facts.state.rps", s.state_rps);
+    line("facts.state.write_rps", s.state_write_rps);
+    line("facts.cloud.rps", s.cloud_rps);
+    for (const auto& f : operator_fields) {
+        if (f.number != nullptr) line(f.name, s.ops.*f.number);
+        else if (f.count != nullptr) line(f.name, s.ops.*f.count);
+        else line(f.name, s.ops.*f.flag ? "yes" : "no");
+    }
+    return out;
+}
+
+} // namespace heronshift
--- /dev/null
+++ b/src/http.cpp
@@ -0,0 +1,421 @@
+#include "heronshift/http.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace heronshift {
+namespace {
+
+constexpr std::size_t most_body = 64 * 1024;
+constexpr std::size_t most_head = 16 * 1024;
+constexpr std::size_t most_reply = 8 * 1024 * 1024;
+
+const char* reason(int status) {
+    switch (status) {
+    case 200: return "OK";
+    case 201: return "Created";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 421: return "Misdirected Request";
+    case 422: return "Unprocessable Entity";
+    case 429: return "Too Many Requests";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+    default: return "Status";
+    }
+}
+
+// libuv reads one buffer at a time on one loop, so a single buffer serves all connections.
+char read_buffer[64 * 1024];
+
+void give_buffer(uv_handle_t* /*h*/, std::size_t /*hint*/, uv_buf_t* buf) {
+    *buf = uv_buf_init(read_buffer, sizeof read_buffer);
+}
+
+struct WriteOp {
+    uv_write_t req;
+    std::string data;
+};
+
+int write_all(uv_tcp_t* tcp, std::string data) {
+    auto* w = new WriteOp{{}, std::move(data)};
+    w->req.data = w;
+    const uv_buf_t buf = uv_buf_init(w->data.data(), static_cast<unsigned>(w->data.size()));
+    // Most answers leave at once; only the rest needs a queued write.
+    const int n = uv_try_write(reinterpret_cast<uv_stream_t*>(tcp), &buf, 1);
+    if (n == static_cast<int>(w->data.size())) {
+        delete w;
+        return 0;
+    }
+    const std::size_t sent = n > 0 ? static_cast<std::size_t>(n) : 0;
+    const uv_buf_t rest = uv_buf_init(w->data.data() + sent, static_cast<unsigned>(w->data.size() - sent));
+    const int e = uv_write(&w->req, reinterpret_cast<uv_stream_t*>(tcp), &rest, 1,
+                           [](uv_write_t* r, int) { delete static_cast<WriteOp*>(r->data); });
+    if (e != 0) delete w;
+    return e;
+}
+
+bool sockaddr_of(const std::string& host, int port, sockaddr_in& out) {
+    return uv_ip4_addr(host.c_str(), port, &out) == 0;
+}
+
+} // namespace
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+public:
+    explicit ServerConnection(HttpServer* s) : server_(s) {
+        http_parser_init(&parser_, HTTP_REQUEST);
+        parser_.data = this;
+        tcp_ = new uv_tcp_t;
+        uv_tcp_init(s->loop_, tcp_);
+        tcp_->data = this;
+        last_ = steady_now(s->loop_);
+    }
+
+    uv_tcp_t* tcp() { return tcp_; }
+
+    void start() {
+        uv_tcp_nodelay(tcp_, 1);
+        uv_read_start(reinterpret_cast<uv_stream_t*>(tcp_), give_buffer,
+                      [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
+                          if (auto* c = static_cast<ServerConnection*>(s->data); c != nullptr) c->on_read(n, buf);
+                      });
+    }
+
+    void close() {
+        if (tcp_ == nullptr) return;
+        tcp_->data = nullptr;
+        uv_close(reinterpret_cast<uv_handle_t*>(tcp_), [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+        tcp_ = nullptr;
+        auto self = shared_from_this();
+        if (server_ != nullptr) server_->conns_.erase(self);
+    }
+
+    void orphan() { server_ = nullptr; }
+
+    void respond(int status, std::string_view body, int retry_after_s) {
+        if (tcp_ == nullptr || !busy_) return;
+        busy_ = false;
+        last_ = steady_now(tcp_->loop);
+        auto head = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n", status,
+                                reason(status), body.size());
+        if (retry_after_s > 0) head += fmt::format("Retry-After: {}\r\n", retry_after_s);
+        if (!keep_) head += "Connection: close\r\n";
+        head += "\r\n";
+        head += body;
+        const int e = write_all(tcp_, std::move(head));
+        if (e != 0 || !keep_) return close();
+    }
+
+    // A request that takes too long to arrive, or an idle connection.
+    [[nodiscard]] bool stale(double now, double idle_s) const {
+        if (busy_) return false;
+        return now - last_ > (receiving_ ? idle_s / 4 : idle_s);
+    }
+
+private:
+    void on_read(ssize_t n, const uv_buf_t* buf) {
+        if (n == 0) return;
+        auto self = shared_from_this();
+        if (n < 0) return close();
+        if (busy_) return bad(); // pipelining is not part of the protocol
+        static const http_parser_settings callbacks = make_callbacks();
+        const auto used = http_parser_execute(&parser_, &callbacks, buf->base, static_cast<std::size_t>(n));
+        if (tcp_ == nullptr) return;
+        if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED) {
+            http_parser_pause(&parser_, 0);
+            complete();
+            return;
+        }
+        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0 || used != static_cast<std::size_t>(n))
+            return bad();
+    }
+
+    void bad() {
+        busy_ = true;
+        keep_ = false;
+        respond(400, R"({"error":"malformed request"})", 0);
+    }
+
+    void complete() {
+        receiving_ = false;
+        busy_ = true;
+        keep_ = http_should_keep_alive(&parser_) != 0;
+        request_.method = http_method_str(static_cast<http_method>(parser_.method));
+        const auto q = url_.find('?');
+        request_.path = url_.substr(0, q);
+        request_.query = q == std::string::npos ? "" : url_.substr(q + 1);
+        auto r = std::move(request_);
+        request_ = {};
+        url_.clear();
+        if (server_ == nullptr) return;
+        server_->handler_(std::move(r), Responder(shared_from_this()));
+    }
+
+    static http_parser_settings make_callbacks() {
+        http_parser_settings s;
+        http_parser_settings_init(&s);
+        s.on_message_begin = [](http_parser* p) {
+            auto* c = static_cast<ServerConnection*>(p->data);
+            c->receiving_ = true;
+            c->last_ = steady_now(c->tcp_->loop);
+            c->url_.clear();
+            c->request_ = {};
+            return 0;
+        };
+        s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+            auto* c = static_cast<ServerConnection*>(p->data);
+            c->url_.append(at, n);
+            return c->url_.size() > most_head ? 1 : 0;
+        };
+        s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+            auto* c = static_cast<ServerConnection*>(p->data);
+            c->request_.body.append(at, n);
+            return c->request_.body.size() > most_body ? 1 : 0;
+        };
+        s.on_message_complete = [](http_parser* p) {
+            http_parser_pause(p, 1);
+            return 0;
+        };
+        return s;
+    }
+
+    HttpServer* server_;
+    uv_tcp_t* tcp_ = nullptr;
+    http_parser parser_{};
+    HttpRequest request_;
+    std::string url_;
+    bool busy_ = false, keep_ = true, receiving_ = false;
+    double last_ = 0;
+};
+
+void Responder::send(int status, std::string_view body, int retry_after_s) const {
+    if (conn_) conn_->respond(status, body, retry_after_s);
+}
+
+HttpServer::HttpServer(uv_loop_t* loop, std::size_t most, double idle_s, Handler handler)
+    : loop_(loop), most_(most), idle_s_(idle_s), handler_(std::move(handler)) {}
+
+HttpServer::~HttpServer() {
+    auto all = std::move(conns_);
+    conns_.clear();
+    for (const auto& c : all) {
+        c->orphan();
+        c->close();
+    }
+    if (tcp_ != nullptr)
+        uv_close(reinterpret_cast<uv_handle_t*>(tcp_), [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+}
+
+int HttpServer::listen(const Endpoint& at) {
+    sockaddr_in addr{};
+    if (!sockaddr_of(at.host, at.port, addr)) return UV_EINVAL;
+    tcp_ = new uv_tcp_t;
+    uv_tcp_init(loop_, tcp_);
+    tcp_->data = this;
+    int e = uv_tcp_bind(tcp_, reinterpret_cast<const sockaddr*>(&addr), 0);
+    if (e == 0)
+        e = uv_listen(reinterpret_cast<uv_stream_t*>(tcp_), 512, [](uv_stream_t* s, int status) {
+            if (status == 0) static_cast<HttpServer*>(s->data)->accept();
+        });
+    return e;
+}
+
+void HttpServer::accept() {
+    auto c = std::make_shared<ServerConnection>(this);
+    conns_.insert(c);
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(tcp_), reinterpret_cast<uv_stream_t*>(c->tcp())) != 0 ||
+        conns_.size() > most_) {
+        c->close();
+        return;
+    }
+    c->start();
+}
+
+void HttpServer::sweep() {
+    const double now = steady_now(loop_);
+    std::vector<std::shared_ptr<ServerConnection>> old;
+    for (const auto& c : conns_)
+        if (c->stale(now, idle_s_)) old.push_back(c);
+    for (const auto& c : old) c->close();
+}
+
+struct HttpClient::Connection {
+    HttpClient* client = nullptr;
+    std::string addr;
+    uv_tcp_t* tcp = nullptr;
+    uv_connect_t* connecting = nullptr;
+    http_parser parser{};
+    bool connected = false, busy = false, complete = false, used = false;
+    Waiting job;
+    std::string body;
+    double idle_since = 0;
+
+    void close() {
+        if (tcp == nullptr) return;
+        tcp->data = nullptr;
+        uv_close(reinterpret_cast<uv_handle_t*>(tcp), [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+        tcp = nullptr;
+    }
+
+    void send() {
+        used = true;
+        http_parser_init(&parser, HTTP_RESPONSE);
+        parser.data = this;
+        body.clear();
+        complete = false;
+        std::string out;
+        out.reserve(job.body.size() + 200);
+        out = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", job.method, job.path, addr);
+        if (!job.body.empty() || job.method == "POST")
+            out += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n", job.body.size());
+        out += "\r\n";
+        out += job.body;
+        if (write_all(tcp, std::move(out)) != 0) client->finish(this, {0, {}, true}, false);
+    }
+
+    void on_read(ssize_t n, const uv_buf_t* buf) {
+        if (n == 0) return;
+        if (!busy) return client->finish(this, {}, false);
+        static const http_parser_settings callbacks = make_callbacks();
+        // At the end of the stream the parser is told so: a body without length ends there.
+        http_parser_execute(&parser, &callbacks, buf->base, n < 0 ? 0 : static_cast<std::size_t>(n));
+        if (complete) {
+            const bool keep = n > 0 && http_should_keep_alive(&parser) != 0;
+            return client->finish(this, {static_cast<int>(parser.status_code), std::move(body), true}, keep);
+        }
+        if (n < 0 || HTTP_PARSER_ERRNO(&parser) != HPE_OK) client->finish(this, {0, {}, true}, false);
+    }
+
+    static http_parser_settings make_callbacks() {
+        http_parser_settings s;
+        http_parser_settings_init(&s);
+        s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+            auto* c = static_cast<Connection*>(p->data);
+            c->body.append(at, n);
+            return c->body.size() > most_reply ? 1 : 0;
+        };
+        s.on_message_complete = [](http_parser* p) {
+            static_cast<Connection*>(p->data)->complete = true;
+            return 0;
+        };
+        return s;
+    }
+};
+
+HttpClient::HttpClient(uv_loop_t* loop, std::size_t most_per_address, std::size_t most_waiting)
+    : loop_(loop), most_(most_per_address), most_waiting_(most_waiting) {}
+
+HttpClient::~HttpClient() {
+    for (auto& [addr, pool] : pools_)
+        for (auto* c : pool.conns) {
+            c->close();
+            delete c;
+        }
+}
+
+void HttpClient::request(const std::string& addr, const char* method, const std::string& path, std::string body,
+                         double timeout_s, Callback done) {
+    auto& pool = pools_[addr];
+    if (pool.waiting.size() >= most_waiting_) {
+        done({});
+        return;
+    }
+    pool.waiting.push_back({method, path, std::move(body), steady_now(loop_) + timeout_s, std::move(done)});
+    pump(addr);
+}
+
+void HttpClient::pump(const std::string& addr) {
+    auto& pool = pools_[addr];
+    while (!pool.waiting.empty()) {
+        Connection* free = nullptr;
+        for (auto* c : pool.conns)
+            if (!c->busy) free = c;
+        if (free == nullptr && pool.conns.size() >= most_) return;
+        auto job = std::move(pool.waiting.front());
+        pool.waiting.pop_front();
+        if (free != nullptr) {
+            free->busy = true;
+            free->job = std::move(job);
+            free->send();
+            continue;
+        }
+        const auto colon = addr.rfind(':');
+        sockaddr_in to{};
+        if (colon == std::string::npos || !sockaddr_of(addr.substr(0, colon), std::atoi(addr.c_str() + colon + 1), to)) {
+            job.done({});
+            continue;
+        }
+        auto* c = new Connection;
+        c->client = this;
+        c->addr = addr;
+        c->busy = true;
+        c->job = std::move(job);
+        c->tcp = new uv_tcp_t;
+        uv_tcp_init(loop_, c->tcp);
+        uv_tcp_nodelay(c->tcp, 1);
+        c->tcp->data = c;
+        pool.conns.push_back(c);
+        auto* req = new uv_connect_t;
+        const int e = uv_tcp_connect(req, c->tcp, reinterpret_cast<const sockaddr*>(&to), [](uv_connect_t* r, int status) {
+            auto* conn = static_cast<Connection*>(r->handle->data);
+            delete r;
+            if (conn == nullptr) return;
+            if (status != 0) return conn->client->finish(conn, {}, false);
+            conn->connected = true;
+            uv_read_start(reinterpret_cast<uv_stream_t*>(conn->tcp), give_buffer,
+                          [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
+                              if (auto* k = static_cast<Connection*>(s->data); k != nullptr) k->on_read(n, buf);
+                          });
+            conn->send();
+        });
+        if (e != 0) {
+            delete req;
+            finish(c, {}, false);
+            return;
+        }
+    }
+}
+
+void HttpClient::finish(Connection* c, HttpReply reply, bool keep) {
+    const auto addr = c->addr;
+    const bool was_busy = c->busy;
+    auto done = std::move(c->job.done);
+    c->busy = false;
+    c->idle_since = steady_now(loop_);
+    if (!keep) {
+        auto& conns = pools_[addr].conns;
+        conns.erase(std::find(conns.begin(), conns.end(), c));
+        c->close();
+        delete c;
+    }
+    if (was_busy && done) done(std::move(reply));
+    pump(addr);
+}
+
+void HttpClient::sweep() {
+    const double now = steady_now(loop_);
+    std::vector<Connection*> late;
+    std::vector<Waiting> unsent;
+    for (auto it = pools_.begin(); it != pools_.end();) {
+        auto& pool = it->second;
+        for (auto* c : pool.conns)
+            if (c->busy ? now > c->job.deadline : now - c->idle_since > 30) late.push_back(c);
+        while (!pool.waiting.empty() && now > pool.waiting.front().deadline) {
+            unsent.push_back(std::move(pool.waiting.front()));
+            pool.waiting.pop_front();
+        }
+        it = pool.conns.empty() && pool.waiting.empty() ? pools_.erase(it) : std::next(it);
+    }
+    for (auto* c : late) {
+        // An earlier callback may have ended this connection already.
+        bool alive = false;
+        for (const auto& [addr, pool] : pools_)
+            alive = alive || std::find(pool.conns.begin(), pool.conns.end(), c) != pool.conns.end();
+        if (alive) finish(c, {0, {}, c->used}, false);
+    }
+    for (auto& w : unsent) w.done({});
+}
+
+} // namespace heronshift
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,543 @@
+#include "heronshift/node.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace heronshift {
+namespace {
+
+constexpr int retry_soon_s = 1;
+constexpr const char* peer_prefix = "/peer";
+constexpr const char* not_now = R"({"error":"not now, try again"})";
+
+std::string error_body(const std::string& what) {
+    return codec::Json{{"error", what}}.dump(-1, ' ', false, codec::Json::error_handler_t::replace);
+}
+
+std::string read_path(const std::string& key) {
+    return std::string(codec::path_store) + "/" + key;
+}
+
+} // namespace
+
+bool RateBudget::take(double now, double n) {
+    left_ = std::min(burst_, left_ + (now - at_) * rate_);
+    at_ = now;
+    if (left_ < n) return false;
+    left_ -= n;
+    return true;
+}
+
+Node::Node(uv_loop_t* loop, Settings settings)
+    : s_(std::move(settings)), loop_(loop), store_(loop, 8, 200), follow_(loop, 2, 4), cloud_(loop, 2, 16),
+      agents_(loop, 1, 4), peer_client_(loop, 8, 64),
+      // What a user's read may take when this node is alone with the store.
+      store_budget_(s_.state_rps / 4, s_.state_rps / 6),
+      submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
+      cloud_budget_(s_.cloud_rps * 0.8, std::max(1.0, s_.cloud_rps)),
+      // Long enough to outlast a short outage of the store together with the workers' leases.
+      ttl_s_(std::min(s_.lease_s / 2, 2.5 * s_.report_s)) {}
+
+Node::~Node() = default;
+
+double Node::now() const {
+    return static_cast<double>(uv_hrtime()) * 1e-9;
+}
+
+double Node::wall() const {
+    using namespace std::chrono;
+    return duration<double>(system_clock::now().time_since_epoch()).count();
+}
+
+int Node::start() {
+    // Sockets: a part stays free for workers, peers, the store and the cloud.
+    const auto fds = static_cast<std::size_t>(s_.fd_limit);
+    users_ = std::make_unique<HttpServer>(loop_, fds * 7 / 10, 2 * s_.lease_s + 30,
+                                          [this](HttpRequest&& r, Responder res) { on_user(std::move(r), std::move(res)); });
+    peers_ = std::make_unique<HttpServer>(loop_, fds / 10, 2 * s_.lease_s + 30,
+                                          [this](HttpRequest&& r, Responder res) { on_peer(std::move(r), std::move(res)); });
+    if (const int e = users_->listen(s_.listen); e != 0) return e;
+    if (const int e = peers_->listen(s_.peer_listen); e != 0) return e;
+    uv_timer_init(loop_, &tick_);
+    uv_timer_init(loop_, &wake_);
+    uv_check_init(loop_, &check_);
+    tick_.data = wake_.data = check_.data = this;
+    const auto period = static_cast<std::uint64_t>(s_.report_s * 1000 / 30);
+    uv_timer_start(&tick_, [](uv_timer_t* t) { static_cast<Node*>(t->data)->tick(); }, 1, period);
+    // Commands gather while the loop handles what has arrived, then the core takes them at once.
+    uv_check_start(&check_, [](uv_check_t* c) { static_cast<Node*>(c->data)->run_core(); });
+    watch_office();
+    learn_types();
+    return 0;
+}
+
+void Node::stop() {
+    if (office_ == Office::held) step_down("this node is ending");
+    uv_timer_stop(&tick_);
+    uv_check_stop(&check_);
+    users_.reset();
+    peers_.reset();
+}
+
+void Node::after(double delay_s, std::function<void()> f) {
+    later_.push_back({now() + delay_s, std::move(f)});
+    arm();
+}
+
+void Node::arm() {
+    double at = now() + 1;
+    for (const auto& l : later_) at = std::min(at, l.at);
+    if (core_) at = queue_.empty() ? std::min(at, core_->wake_at()) : 0;
+    const double in = std::max(0.0, at - now());
+    uv_timer_start(
+        &wake_,
+        [](uv_timer_t* t) {
+            auto* n = static_cast<Node*>(t->data);
+            std::vector<Later> due;
+            const double now = n->now() + 0.0005;
+            for (std::size_t i = 0; i < n->later_.size();) {
+                if (n->later_[i].at > now) {
+                    ++i;
+                    continue;
+                }
+                due.push_back(std::move(n->later_[i]));
+                n->later_[i] = std::move(n->later_.back());
+                n->later_.pop_back();
+            }
+            for (auto& l : due) l.f();
+            n->arm();
+        },
+        static_cast<std::uint64_t>(in * 1000 + 0.999), 0);
+}
+
+void Node::tick() {
+    store_.sweep();
+    follow_.sweep();
+    cloud_.sweep();
+    agents_.sweep();
+    peer_client_.sweep();
+    const double t = now();
+    if (t >= next_sweep_) {
+        next_sweep_ = t + 1;
+        users_->sweep();
+        peers_->sweep();
+    }
+    if ((office_ == Office::held || office_ == Office::loading) && t >= next_renew_) renew();
+    if (t >= next_types_) learn_types();
+    if (office_ == Office::held && t >= next_list_) {
+        next_list_ = t + std::max(s_.list_lag_s / 2, 2 / s_.cloud_rps);
+        list_machines("");
+    }
+    cloud_pump();
+    // A cancellation that the store does not take in time is refused, not held back.
+    for (auto it = cancels_.begin(); it != cancels_.end();) {
+        if (t - it->second.since < s_.report_s / 2) {
+            ++it;
+            continue;
+        }
+        it->second.res.send(503, not_now, retry_soon_s);
+        it = cancels_.erase(it);
+    }
+}
+
+void Node::run_core() {
+    if (!core_ || office_ != Office::held || running_core_) return;
+    const double t = now();
+    if (queue_.empty() && t < core_->wake_at()) return;
+    running_core_ = true;
+    std::vector<Command> batch;
+    batch.swap(queue_);
+    auto effects = core_->step(batch, t, wall());
+    const auto gen = generation_;
+    for (auto& e : effects) {
+        if (gen != generation_) break; // stepped down meanwhile
+        perform(e);
+    }
+    running_core_ = false;
+    arm();
+}
+
+void Node::perform(Effect& effect) {
+    const auto gen = generation_;
+    if (auto* e = std::get_if<Commit>(&effect)) {
+        commit(std::move(*e), 0);
+    } else if (auto* orders = std::get_if<SendOrders>(&effect)) {
+        auto answered = [this, gen, id = orders->machine, batch = orders->batch](HttpReply&& r) {
+            if (gen != generation_) return;
+            OrdersAnswered c{id, batch, r.status, r.sent, std::nullopt};
+            if (r.status == 200 || r.status == 409) c.report = codec::report(r.body);
+            push(std::move(c));
+            arm();
+        };
+        agents_.request(orders->addr, "POST", std::string(codec::path_commands),
+                        codec::commands(orders->fence, orders->tenure, orders->orders), s_.report_s / 2, answered);
+    } else if (auto* reply = std::get_if<BeatAnswer>(&effect)) {
+        const auto it = beats_.find(reply->handle);
+        if (it == beats_.end()) return;
+        // A 200 renews a lease, so it is sent only while nobody else can hold the office.
+        if (reply->status == 200 && valid()) it->second.res.send(200, codec::orders(reply->fence, reply->orders));
+        else it->second.res.send(503, "{}");
+        beats_.erase(it);
+    } else if (auto* answer = std::get_if<CancelAnswer>(&effect)) {
+        const auto it = cancels_.find(answer->handle);
+        if (it == cancels_.end()) return;
+        auto open = std::move(it->second);
+        cancels_.erase(it);
+        if (!answer->status.empty()) {
+            open.res.send(200, codec::job_answer(open.id, answer->status));
+            return;
+        }
+        look_up(open.id, [this, gen, open](Found f) {
+            if (!f.known || gen != generation_) return open.res.send(503, not_now, retry_soon_s);
+            if (f.status.empty()) return open.res.send(404, error_body("no such job"));
+            if (f.status != codec::status_pending) return open.res.send(200, codec::job_answer(open.id, f.status));
+            if (f.job)
+                if (auto spec = codec::spec_from_store(f.job->value.value("spec", Json())); spec)
+                    push(JobStored{std::move(*spec), std::max(0.0, wall() - f.job->value.value("at", wall()))});
+            const auto h = ++handle_seq_;
+            cancels_[h] = {open.res, open.id, now()};
+            push(CancelAsked{open.id, h});
+            arm();
+        });
+    } else if (auto* rent = std::get_if<Rent>(&effect)) {
+        cloud_request("POST", std::string(codec::path_rentals),
+                      codec::rental(rent->claim, rent->type, rent->zone, rent->spot, rent->count),
+                      [this, gen, claim = rent->claim](HttpReply&& r) {
+                          if (gen != generation_) return;
+                          Rented c{claim, RentOutcome::unknown, {}};
+                          if (r.status == 200) {
+                              if (auto list = codec::rented(r.body); list) {
+                                  c.outcome = RentOutcome::rented;
+                                  c.machines = std::move(*list);
+                              }
+                          } else if (r.status == 503 && r.body.find("no capacity") != std::string::npos) {
+                              c.outcome = RentOutcome::no_capacity;
+                          } else if (r.status == 503 || r.status == 429 || r.status == 400 || (r.status == 0 && !r.sent)) {
+                              c.outcome = RentOutcome::failed;
+                          }
+                          const double delay = c.outcome == RentOutcome::rented ? 0 : s_.report_s / 6;
+                          after(delay, [this, gen, c = std::move(c)]() mutable {
+                              if (gen != generation_) return;
+                              push(std::move(c));
+                              arm();
+                          });
+                      });
+    } else if (auto* release = std::get_if<Release>(&effect)) {
+        cloud_request("POST", std::string(codec::path_release), codec::release(release->machines),
+                      [this, gen, list = release->machines](HttpReply&& r) {
+                          if (gen != generation_) return;
+                          push(Released{list, r.status == 200});
+                          arm();
+                      });
+    } else if (auto* end = std::get_if<StepDown>(&effect)) {
+        step_down(end->why);
+    } else if (auto* line = std::get_if<Note>(&effect)) {
+        spdlog::log(line->level == 0 ? spdlog::level::debug : line->level == 1 ? spdlog::level::info : spdlog::level::warn,
+                    "{}", line->text);
+    }
+}
+
+void Node::store_request(const char* method, const std::string& path, std::string body, double timeout_s,
+                         HttpClient::Callback done) {
+    store_.request(s_.state.str(), method, path, std::move(body), timeout_s, std::move(done));
+}
+
+void Node::cloud_request(const char* method, std::string path, std::string body, HttpClient::Callback done) {
+    cloud_queue_.push_back({method, std::move(path), std::move(body), std::move(done)});
+    cloud_pump();
+}
+
+void Node::cloud_pump() {
+    while (!cloud_queue_.empty() && cloud_budget_.take(now())) {
+        auto c = std::move(cloud_queue_.front());
+        cloud_queue_.pop_front();
+        cloud_.request(s_.cloud.str(), c.method.c_str(), c.path, std::move(c.body), s_.report_s * 2, std::move(c.done));
+    }
+}
+
+void Node::list_machines(const std::string& since) {
+    if (!core_ || cloud_queue_.size() > 4) return;
+    const auto gen = generation_;
+    if (since.empty()) {
+        listing_.clear();
+        listing_at_ = now();
+    }
+    auto path = std::string(codec::path_rentals) + "?most=500";
+    if (!since.empty()) path += "&since=" + since;
+    cloud_request("GET", path, "", [this, gen](HttpReply&& r) {
+        if (gen != generation_) return;
+        auto page = r.status == 200 ? codec::machine_page(r.body) : std::nullopt;
+        if (!page) return;
+        std::string last;
+        for (auto& m : page->machines) {
+            last = m.id;
+            listing_.push_back(std::move(m));
+        }
+        if (page->more && !last.empty()) return list_machines(last);
+        push(Listed{std::move(listing_), listing_at_});
+        listing_.clear();
+        arm();
+    });
+}
+
+// The types come from the cloud; the holder keeps a copy in the store for nodes that start while
+// the cloud is in trouble.
+void Node::learn_types() {
+    next_types_ = now() + s_.report_s;
+    if (learning_types_) return;
+    const bool holder = office_ == Office::held;
+    if (!types_.empty() && (!holder || now() - types_at_ < s_.lease_s)) return;
+    learning_types_ = true;
+    auto learned = [this](HttpReply&& r) {
+        learning_types_ = false;
+        auto types = r.status == 200 ? codec::machine_types(r.body) : std::nullopt;
+        if (!types) return;
+        const bool first = types_.empty();
+        types_ = std::move(*types);
+        types_at_ = now();
+        if (first) spdlog::info("{} machine types known", types_.size());
+        if (core_) {
+            push(TypesKnown{types_});
+            arm();
+        }
+        if (first)
+            store_request("POST", std::string(codec::path_txn),
+                          codec::txn({{"types", 0}}, {{"types", codec::types_to_json(types_), 0}}), 1, [](HttpReply&&) {});
+    };
+    auto from_cloud = [this, learned] {
+        cloud_.request(s_.cloud.str(), "GET", std::string(codec::path_types), "", s_.report_s * 2, learned);
+    };
+    if (!types_.empty()) return from_cloud();
+    store_request("GET", read_path("types"), "", s_.report_s / 2, [this, learned, from_cloud](HttpReply&& r) {
+        if (const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt; item) {
+            if (auto types = codec::machine_types(item->value.dump()); types) {
+                learning_types_ = false;
+                types_ = std::move(*types);
+                types_at_ = now();
+                if (core_) push(TypesKnown{types_});
+                return arm();
+            }
+        }
+        from_cloud();
+    });
+}
+
+void Node::on_user(HttpRequest&& r, Responder res) {
+    ++requests_;
+    serve(std::move(r), std::move(res), false);
+}
+
+void Node::on_peer(HttpRequest&& r, Responder res) {
+    if (!r.path.starts_with(peer_prefix)) return res.send(404, error_body("no such path"));
+    r.path.erase(0, std::string_view(peer_prefix).size());
+    serve(std::move(r), std::move(res), true);
+}
+
+void Node::serve(HttpRequest&& r, Responder res, bool forwarded) {
+    const std::string_view path = r.path;
+    const bool get = r.method == "GET", post = r.method == "POST";
+    auto wrong_method = [&] { res.send(405, error_body("wrong method")); };
+    if (path == codec::path_report) return post ? beat(std::move(r), std::move(res)) : wrong_method();
+    if (path == codec::path_health) {
+        if (!get) return wrong_method();
+        return types_.empty() ? res.send(503, not_now, retry_soon_s) : res.send(200, "{}");
+    }
+    if (path == "/metrics") {
+        if (!get) return wrong_method();
+        return res.send(200, (core_ ? core_->metrics() : "") +
+                                 fmt::format("heronshift_requests_total {}\nheronshift_refused_total {}\n", requests_, refused_));
+    }
+    if (path == codec::path_jobs) return post ? submit(std::move(r), std::move(res), forwarded) : wrong_method();
+    if (!path.starts_with(codec::path_jobs) || path.size() <= codec::path_jobs.size() + 1 ||
+        path[codec::path_jobs.size()] != '/')
+        return res.send(404, error_body("no such path"));
+    auto rest = path.substr(codec::path_jobs.size() + 1);
+    const auto slash = rest.find('/');
+    const std::string id(rest.substr(0, slash));
+    if (slash == std::string_view::npos) {
+        if (!get) return wrong_method();
+        // An id that can't have been accepted needs no reading.
+        if (!codec::valid_job_id(id)) return res.send(404, error_body("no such job"));
+        if (forwarded || valid()) return poll(id, std::move(res), forwarded);
+        return forward(std::move(r), std::move(res), [this, id](Responder x) { poll(id, std::move(x), false); });
+    }
+    if (rest.substr(slash + 1) != codec::suffix_cancel) return res.send(404, error_body("no such path"));
+    if (!post) return wrong_method();
+    if (!codec::valid_job_id(id)) return res.send(404, error_body("no such job"));
+    cancel(id, std::move(r), std::move(res), forwarded);
+}
+
+void Node::beat(HttpRequest&& r, Responder res) {
+    if (!valid() || !core_) {
+        if (!holder_.empty() && holder_ != s_.name) return res.send(421, codec::redirect(holder_));
+        return res.send(503, "{}");
+    }
+    auto report = codec::report(r.body);
+    if (!report) {
+        spdlog::warn("malformed report");
+        return res.send(400, error_body("malformed report"));
+    }
+    const auto h = ++handle_seq_;
+    beats_[h] = {std::move(res), {}, now()};
+    push(Beat{std::move(*report), h});
+}
+
+// Passes a request on to the holder; what it does not answer is handled here.
+void Node::forward(HttpRequest&& r, Responder res, std::function<void(Responder)> otherwise) {
+    const Peer* to = nullptr;
+    for (const auto& p : s_.peers)
+        if (p.name == holder_) to = &p;
+    if (to == nullptr) return otherwise(std::move(res));
+    peer_client_.request(to->addr.str(), r.method == "GET" ? "GET" : "POST", peer_prefix + r.path, std::move(r.body),
+                         s_.report_s / 3, [res, otherwise](HttpReply&& a) {
+                             if (a.status == 0 || a.status == 503) return otherwise(res);
+                             res.send(a.status, a.body, a.status == 429 ? retry_soon_s : 0);
+                         });
+}
+
+void Node::look_up(const std::string& id, std::function<void(Found)> done) {
+    if (!store_budget_.take(now(), 2) || lookups_ > 100) {
+        ++refused_;
+        return done({});
+    }
+    ++lookups_;
+    store_request("GET", read_path("j/" + id), "", s_.report_s / 3, [this, id, done](HttpReply&& r) {
+        Found f;
+        if (r.status == 200) f.job = codec::item(r.body);
+        if (r.status != 404 && !f.job) {
+            --lookups_;
+            return done({});
+        }
+        // The final state is read last: it is never taken back, and it is there before the job's
+        // record goes.
+        store_request("GET", read_path("f/" + id), "", s_.report_s / 3, [this, done, f](HttpReply&& q) mutable {
+            --lookups_;
+            if (q.status == 200) {
+                const auto item = codec::item(q.body);
+                if (!item || !item->value.is_object()) return done({});
+                f.status = item->value.value("s", std::string());
+                f.known = !f.status.empty();
+            } else if (q.status == 404) {
+                f.known = true;
+                if (f.job) f.status = codec::status_pending;
+            }
+            done(std::move(f));
+        });
+    });
+}
+
+void Node::poll(const std::string& id, Responder res, bool forwarded) {
+    if (valid() && core_) {
+        if (const auto v = core_->view(id); v)
+            return res.send(200, codec::job_answer(id, v->status, v->done, v->running));
+    } else if (forwarded) {
+        return res.send(503, not_now, retry_soon_s);
+    }
+    look_up(id, [id, res](Found f) {
+        if (!f.known) return res.send(503, not_now, retry_soon_s);
+        if (f.status.empty()) return res.send(404, error_body("no such job"));
+        res.send(200, codec::job_answer(id, f.status, 0, 0));
+    });
+}
+
+void Node::cancel(const std::string& id, HttpRequest&& r, Responder res, bool forwarded) {
+    if (!valid() || !core_) {
+        if (forwarded) return res.send(503, not_now, retry_soon_s);
+        // Only the holder decides, so that its answers from memory are never old.
+        return forward(std::move(r), std::move(res), [](Responder x) { x.send(503, not_now, retry_soon_s); });
+    }
+    const auto h = ++handle_seq_;
+    cancels_[h] = {std::move(res), id, now()};
+    push(CancelAsked{id, h});
+}
+
+std::string Node::impossible(const JobSpec& s) const {
+    const TeamLimits* team = nullptr;
+    for (const auto& t : s_.teams)
+        if (t.name == s.team) team = &t;
+    if (team == nullptr) return "owner: unknown team";
+    const double n = s.shape == Shape::array ? 1 : s.tasks;
+    if (team->cpus_max > 0 && s.each.cpus * n > team->cpus_max + 1e-6) return "cpus: beyond the team's limit";
+    if (team->gpus_max > 0 && s.each.gpus * n > team->gpus_max + 1e-6) return "accelerators: beyond the team's limit";
+    for (const auto& t : types_) {
+        if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), t.name) == s.types.end()) continue;
+        if (!s.zone.empty() && std::find(t.zones.begin(), t.zones.end(), s.zone) == t.zones.end()) continue;
+        if (s.each.fits(t.room)) return {};
+    }
+    return "a task fits no allowed machine type";
+}
+
+void Node::submit(HttpRequest&& r, Responder res, bool forwarded) {
+    auto parsed = codec::submission(r.body);
+    std::string refusal;
+    int status = 0;
+    std::string id;
+    if (auto* bad = std::get_if<codec::Invalid>(&parsed)) {
+        status = 400;
+        refusal = bad->why;
+        // Even then a known id gets its state.
+        if (const auto j = codec::parse(r.body); j.is_object() && j.contains("id") && j["id"].is_string())
+            id = j["id"].get<std::string>();
+        if (!codec::valid_job_id(id)) return res.send(400, error_body(refusal));
+    } else {
+        id = std::get<JobSpec>(parsed).id;
+    }
+    if (valid() && core_)
+        if (const auto v = core_->view(id); v) return res.send(200, codec::job_answer(id, v->status));
+    if (status == 0) {
+        if (types_.empty()) return res.send(503, not_now, retry_soon_s);
+        refusal = impossible(std::get<JobSpec>(parsed));
+        if (!refusal.empty()) status = 422;
+    }
+    if (status != 0) {
+        look_up(id, [id, res, status, refusal](Found f) {
+            if (!f.known) return res.send(503, not_now, retry_soon_s);
+            if (!f.status.empty()) return res.send(200, codec::job_answer(id, f.status));
+            res.send(status, error_body(refusal));
+        });
+        return;
+    }
+    auto spec = std::move(std::get<JobSpec>(parsed));
+    if (!submit_budget_.take(now())) {
+        ++refused_;
+        return res.send(429, not_now, retry_soon_s);
+    }
+    (void)forwarded;
+    store_job(std::move(spec), std::move(res), 0);
+}
+
+void Node::store_job(JobSpec spec, Responder res, int tries) {
+    const double at = wall();
+    const auto body = codec::txn({{"j/" + spec.id, 0}, {"f/" + spec.id, 0}},
+                                 {{"j/" + spec.id, Json{{"spec", codec::to_json(spec)}, {"at", at}}, 0}});
+    store_request("POST", std::string(codec::path_txn), body, s_.report_s / 2,
+                  [this, spec = std::move(spec), res, tries, at](HttpReply&& r) mutable {
+                      const auto id = spec.id;
+                      if (r.status == 200) {
+                          if (core_ && office_ == Office::held) {
+                              push(JobStored{std::move(spec), std::max(0.0, wall() - at)});
+                              arm();
+                          }
+                          return res.send(201, codec::job_answer(id, codec::status_pending));
+                      }
+                      if (r.status == 409) {
+                          return look_up(id, [id, res](Found f) {
+                              if (!f.known || f.status.empty()) return res.send(503, not_now, retry_soon_s);
+                              res.send(200, codec::job_answer(id, f.status));
+                          });
+                      }
+                      // The budget is shared: a moment later there may be room.
+                      if (r.status == 429 && tries < 3) {
+                          after(0.05 * (1 + tries), [this, spec = std::move(spec), res, tries]() mutable {
+                              store_job(std::move(spec), res, tries + 1);
+                          });
+                          return;
+                      }
+                      ++refused_;
+                      res.send(503, not_now, retry_soon_s);
+                  });
+}
+
+} // namespace heronshift
--- /dev/null
+++ b/src/office.cpp
@@ -0,0 +1,293 @@
+// Leadership: one store key, held under a hold, names the holder; a second key, the round, counts
+// terms and transactions and outlives the hold. See docs/safety.md.
+#include "heronshift/node.hpp"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace heronshift {
+namespace {
+
+constexpr const char* office_key = "office";
+constexpr const char* round_key = "round";
+
+std::string read_path(const std::string& key) {
+    return std::string(codec::path_store) + "/" + key;
+}
+
+} // namespace
+
+// Waits for a change of the office, then looks at it afresh.
+void Node::watch_office() {
+    if (office_ != Office::standby) return;
+    const auto gen = generation_;
+    store_request("GET", read_path(office_key), "", s_.report_s / 2, [this, gen](HttpReply&& r) {
+        if (gen != generation_ || office_ != Office::standby) return;
+        office_seen(r);
+    });
+}
+
+void Node::office_seen(const HttpReply& r) {
+    const auto gen = generation_;
+    auto again = [this, gen](double delay) {
+        after(delay, [this, gen] {
+            if (gen == generation_) watch_office();
+        });
+    };
+    if (r.status == 404) {
+        holder_.clear();
+        acquire();
+        return;
+    }
+    const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt;
+    if (!item || !item->value.is_object()) return again(s_.report_s / 6);
+    const auto name = item->value.value("node", std::string());
+    if (name == s_.name) {
+        // We have just started: the process that held the office under our name is dead.
+        const auto hold = item->value.value("hold", std::uint64_t{0});
+        spdlog::info("the office is held by an earlier process of this node, ending its hold {}", hold);
+        store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold), "", s_.report_s / 2,
+                      [again](HttpReply&&) { again(0.01); });
+        return;
+    }
+    if (name != holder_) spdlog::info("the office is held by {}", name);
+    holder_ = name;
+    const double block = s_.report_s;
+    follow_.request(s_.state.str(), "GET",
+                    fmt::format("{}?under={}&since={}&blockMs={}", codec::path_follow, office_key, item->stamp,
+                                static_cast<int>(block * 1000)),
+                    "", block + 2, [this, gen, again](HttpReply&& f) {
+                        if (gen != generation_) return;
+                        again(f.status == 200 ? 0 : s_.report_s / 6);
+                    });
+}
+
+void Node::acquire() {
+    office_ = Office::acquiring;
+    const auto gen = ++generation_;
+    hold_ = 0;
+    auto fail = [this, gen] {
+        if (gen != generation_) return;
+        if (hold_ != 0)
+            store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold_), "", 1, [](HttpReply&&) {});
+        office_ = Office::standby;
+        ++generation_;
+        after(s_.report_s / 10, [this, g = generation_] {
+            if (g == generation_) watch_office();
+        });
+    };
+    hold_sent_ = now();
+    store_request("POST", std::string(codec::path_holds), codec::hold_request(ttl_s_), 1, [this, gen, fail](HttpReply&& r) {
+        if (gen != generation_) return;
+        const auto hold = r.status == 200 ? codec::hold_of(r.body) : std::nullopt;
+        if (!hold) return fail();
+        hold_ = *hold;
+        store_request("GET", read_path(round_key), "", 1, [this, gen, fail](HttpReply&& q) {
+            if (gen != generation_) return;
+            std::uint64_t term = 0, stamp = 0;
+            if (q.status == 200) {
+                const auto item = codec::item(q.body);
+                if (!item || !item->value.is_object()) return fail();
+                term = item->value.value("term", std::uint64_t{0});
+                stamp = item->stamp;
+            } else if (q.status != 404) {
+                return fail();
+            }
+            term_ = term + 1;
+            const auto body = codec::txn(
+                {{office_key, 0}, {round_key, stamp}},
+                {{office_key, Json{{"node", s_.name}, {"hold", hold_}, {"term", term_}}, hold_},
+                 {round_key, Json{{"term", term_}, {"n", 0}}, 0}});
+            store_request("POST", std::string(codec::path_txn), body, 1, [this, gen, fail](HttpReply&& t) {
+                if (gen != generation_) return;
+                const auto epoch = t.status == 200 ? codec::epoch_of(t.body) : std::nullopt;
+                if (!epoch) return fail();
+                office_stamp_ = round_stamp_ = *epoch;
+                round_seq_ = 0;
+                take_office();
+            });
+        });
+    });
+}
+
+// Reads everything below a prefix, page by page.
+void Node::load(const std::string& prefix, const std::string& since, std::vector<codec::Item>* into,
+                std::function<void()> next) {
+    const auto gen = generation_;
+    auto path = fmt::format("{}?under={}&most=500", codec::path_store, prefix);
+    if (!since.empty()) path += "&since=" + since;
+    store_request("GET", path, "", 2, [=, this](HttpReply&& r) {
+        if (gen != generation_) return;
+        auto page = r.status == 200 ? codec::page(r.body) : std::nullopt;
+        if (!page) {
+            after(s_.report_s / 10, [=, this] {
+                if (gen == generation_) load(prefix, since, into, next);
+            });
+            return;
+        }
+        if (prefix == "j/" && since.empty()) follow_epoch_ = page->epoch;
+        std::string last;
+        for (auto& i : page->items) {
+            last = i.key;
+            into->push_back(std::move(i));
+        }
+        if (page->more && !last.empty()) return load(prefix, last, into, next);
+        next();
+    });
+}
+
+void Node::take_office() {
+    office_ = Office::loading;
+    holder_ = s_.name;
+    // Counted from when the hold was asked for, less drift and some for timers.
+    valid_until_ = hold_sent_ + ttl_s_ * 0.998 - 0.1;
+    next_renew_ = 0;
+    spdlog::info("took office, term {}", term_);
+    snapshot_ = {};
+    load("j/", "", &snapshot_.jobs, [this] {
+        load("d/", "", &snapshot_.progress, [this] {
+            load("m/", "", &snapshot_.machines, [this] {
+                core_ = std::make_unique<Core>(s_, term_, snapshot_, now(), wall());
+                spdlog::info("term {}: {} jobs and {} machines read", term_, snapshot_.jobs.size(),
+                             snapshot_.machines.size());
+                snapshot_ = {};
+                office_ = Office::held;
+                queue_.clear();
+                if (!types_.empty()) push(TypesKnown{types_});
+                next_list_ = 0;
+                follow_jobs();
+                arm();
+            });
+        });
+    });
+}
+
+void Node::renew() {
+    const auto gen = generation_;
+    const double sent = now();
+    next_renew_ = sent + ttl_s_ / 6;
+    store_request("POST", fmt::format("{}/{}/{}", codec::path_holds, hold_, codec::suffix_extend), "{}", ttl_s_ / 5,
+                  [this, gen, sent](HttpReply&& r) {
+                      if (gen != generation_) return;
+                      if (r.status == 200) valid_until_ = std::max(valid_until_, sent + ttl_s_ * 0.998 - 0.1);
+                      else if (r.status == 404) step_down("the hold has ended");
+                  });
+}
+
+void Node::step_down(const std::string& why) {
+    if (office_ == Office::standby) return;
+    spdlog::warn("term {} ends here: {}", term_, why);
+    if (hold_ != 0)
+        store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold_), "", 1, [](HttpReply&&) {});
+    ++generation_;
+    office_ = Office::standby;
+    valid_until_ = 0;
+    hold_ = 0;
+    holder_.clear();
+    queue_.clear();
+    core_.reset();
+    cloud_queue_.clear();
+    for (auto& [h, o] : beats_) o.res.send(503, "{}");
+    for (auto& [h, o] : cancels_) o.res.send(503, "{}", 1);
+    beats_.clear();
+    cancels_.clear();
+    after(s_.report_s / 10, [this, g = generation_] {
+        if (g == generation_) watch_office();
+    });
+}
+
+// Other nodes accept jobs too; the holder learns of them here.
+void Node::follow_jobs() {
+    const auto gen = generation_;
+    const double block = s_.lease_s / 2;
+    follow_.request(s_.state.str(), "GET",
+                    fmt::format("{}?under=j/&since={}&blockMs={}", codec::path_follow, follow_epoch_,
+                                static_cast<int>(block * 1000)),
+                    "", block + 2, [this, gen](HttpReply&& r) {
+                        if (gen != generation_ || !core_) return;
+                        auto again = [this, gen](double delay) {
+                            after(delay, [this, gen] {
+                                if (gen == generation_) follow_jobs();
+                            });
+                        };
+                        if (r.status == 410) { // too far behind: everything is read again
+                            snapshot_ = {};
+                            load("j/", "", &snapshot_.jobs, [this, again] {
+                                for (auto& i : snapshot_.jobs)
+                                    if (auto spec = codec::spec_from_store(i.value.value("spec", Json())); spec)
+                                        push(JobStored{std::move(*spec), wall() - i.value.value("at", wall())});
+                                snapshot_ = {};
+                                arm();
+                                again(0);
+                            });
+                            return;
+                        }
+                        auto page = r.status == 200 ? codec::events(r.body) : std::nullopt;
+                        if (!page) return again(s_.report_s / 10);
+                        follow_epoch_ = std::max(follow_epoch_, page->epoch);
+                        for (auto& i : page->items) {
+                            if (i.deleted || !i.value.is_object()) continue;
+                            if (auto spec = codec::spec_from_store(i.value.value("spec", Json())); spec)
+                                push(JobStored{std::move(*spec), std::max(0.0, wall() - i.value.value("at", wall()))});
+                        }
+                        arm();
+                        again(0);
+                    });
+}
+
+// Every transaction of a term guards the office and continues the round's count, so that each
+// makes all earlier ones that are still under way fail.
+void Node::commit(Commit c, int tries) {
+    const auto gen = generation_;
+    auto writes = c.writes;
+    writes.push_back({round_key, Json{{"term", term_}, {"n", round_seq_ + 1}}, 0});
+    const auto body = codec::txn({{office_key, office_stamp_}, {round_key, round_stamp_}}, writes);
+    store_request("POST", std::string(codec::path_txn), body, s_.report_s / 3,
+                  [this, gen, c = std::move(c), tries](HttpReply&& r) mutable {
+                      if (gen != generation_ || !core_) return;
+                      const auto epoch = r.status == 200 ? codec::epoch_of(r.body) : std::nullopt;
+                      if (epoch) {
+                          round_stamp_ = *epoch;
+                          ++round_seq_;
+                          push(Committed{TxnOutcome::applied});
+                          return arm();
+                      }
+                      if ((r.status == 429 || r.status == 503 || r.status == 400) && tries == 0) {
+                          // Surely not executed.
+                          if (r.status == 400) spdlog::error("the state service calls a transaction malformed: {}", r.body);
+                          after(s_.report_s / 20, [this, gen] {
+                              if (gen != generation_) return;
+                              push(Committed{TxnOutcome::refused});
+                              arm();
+                          });
+                          return;
+                      }
+                      resolve_commit(std::move(c), tries + 1);
+                  });
+}
+
+// The outcome is open, or a guard failed: the round says whether the transaction was applied.
+void Node::resolve_commit(Commit c, int tries) {
+    const auto gen = generation_;
+    store_request("GET", read_path(round_key), "", s_.report_s / 3, [this, gen, c = std::move(c), tries](HttpReply&& r) mutable {
+        if (gen != generation_ || !core_) return;
+        const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt;
+        if (!item || !item->value.is_object()) {
+            after(s_.report_s / 10, [this, gen, c = std::move(c), tries]() mutable {
+                if (gen == generation_) resolve_commit(std::move(c), tries);
+            });
+            return;
+        }
+        if (item->value.value("term", std::uint64_t{0}) != term_) return step_down("another term has begun");
+        if (item->value.value("n", std::uint64_t{0}) == round_seq_ + 1) {
+            round_stamp_ = item->stamp;
+            ++round_seq_;
+            push(Committed{TxnOutcome::applied});
+            return arm();
+        }
+        if (tries > 3 && office_ == Office::held && !valid()) return step_down("no office and no answer");
+        commit(std::move(c), tries);
+    });
+}
+
+} // namespace heronshift
