--- a/src/node.cpp
+++ b/src/node.cpp
@@ -107,9 +107,11 @@
                 n->later_.pop_back();
             }
             for (auto& l : due) l.f();
+            n->run_core();
             n->arm();
         },
-        static_cast<std::uint64_t>(in * 1000 + 0.999), 0);
+        // Never 0: libuv runs a timer that is due again at once for ever.
+        std::max<std::uint64_t>(1, static_cast<std::uint64_t>(in * 1000 + 0.999)), 0);
 }
 
 void Node::tick() {
