--- /dev/null
+++ b/examples/embed_core.cpp
@@ -0,0 +1,27 @@
+// Embeds the core without any I/O: one job, a cloud that always has machines, and what the core
+// asks for. A program would carry the effects out and feed back what came of them.
+#include "heronshift/core.hpp"
+
+#include <iostream>
+
+int main() {
+    heronshift::Settings settings;
+    settings.zones = {"a"};
+    settings.teams = {{"us", 0, 0, 0, 0}};
+    heronshift::Core core(settings, /*term=*/1, /*stored=*/{}, /*now=*/0, /*wall=*/0);
+
+    heronshift::JobSpec job;
+    job.id = "wk-000001";
+    job.team = "us";
+    job.tasks = 3;
+    job.each = {2, 0, 4};
+    job.image = "img";
+
+    std::vector<heronshift::Command> queue;
+    queue.emplace_back(heronshift::TypesKnown{{{"m8", {8, 0, 32}, 50, 1, 2, 1, 5, {"a"}}}});
+    queue.emplace_back(heronshift::JobStored{job, 0});
+    for (const auto& effect : core.step(queue, 0, 0))
+        if (const auto* rent = std::get_if<heronshift::Rent>(&effect))
+            std::cout << "rent " << rent->count << " of " << rent->type << " in " << rent->zone << "\n";
+    std::cout << job.id << " is " << core.view(job.id)->status << "\n";
+}
--- a/include/heronshift/config.hpp
+++ b/include/heronshift/config.hpp
@@ -32,9 +32,7 @@
     int pull_back_cap = 2, reorder_cap = 1;   // tasks per round
     double round_s = 10;
     int batch = 8;
-    double headroom = 0.05;     // of the critical work in use, kept free for more of it
     double empty_s = 0;         // 0: a ratio of the type's boot time
-    bool direct_commands = true;
 };
 
 struct Settings {
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -95,9 +95,7 @@
     {.name = "reorder-cap", .count = &OperatorSettings::reorder_cap},
     {.name = "round-s", .number = &OperatorSettings::round_s},
     {.name = "batch", .count = &OperatorSettings::batch, .least = 1},
-    {.name = "headroom", .number = &OperatorSettings::headroom},
     {.name = "empty-s", .number = &OperatorSettings::empty_s},
-    {.name = "direct-commands", .flag = &OperatorSettings::direct_commands},
 };
 
 std::string slurp(const std::string& path) {
--- /dev/null
+++ b/tests/test_codec.cpp
@@ -0,0 +1,90 @@
+#include "heronshift/codec.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift {
+namespace {
+
+codec::Json good_job() {
+    return codec::Json::parse(R"({"id":"wk-000412","jobclass":"train","owner":"vision","shape":"gang","rank":"high",
+        "shards":16,"cpus":8.0,"accelerators":1.0,"memGb":64.0,"bundle":"img-07","imageGb":6.2,"flavors":["g8"],
+        "yard":null,"together":true,"scatter":false,"standby":true,"expectedS":240.0,"snapshotEveryS":30.0,
+        "snapshotS":4.0,"dueS":900.0})");
+}
+
+std::string complaint(const codec::Json& j) {
+    const auto r = codec::submission(j.dump());
+    const auto* bad = std::get_if<codec::Invalid>(&r);
+    return bad != nullptr ? bad->why : "";
+}
+
+TEST(Submission, IsReadAndSurvivesTheStore) {
+    const auto r = codec::submission(good_job().dump());
+    ASSERT_TRUE(std::holds_alternative<JobSpec>(r));
+    const auto& s = std::get<JobSpec>(r);
+    EXPECT_EQ(s.shape, Shape::gang);
+    EXPECT_EQ(s.tasks, 16U);
+    EXPECT_TRUE(s.zone.empty());
+    const auto back = codec::spec_from_store(codec::to_json(s));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(codec::to_json(*back), codec::to_json(s));
+}
+
+TEST(Submission, NamesTheFieldThatIsWrong) {
+    const std::pair<const char*, codec::Json> cases[] = {
+        {"id", "job-1"},    {"id", "wk-12x"},   {"id", 7},          {"shards", 0},        {"shards", 100001},
+        {"shards", 1.5},    {"shards", -3},     {"cpus", 0},        {"cpus", -1},         {"cpus", "8"},
+        {"shape", "ring"},  {"rank", "urgent"}, {"memGb", nullptr}, {"expectedS", -1},    {"snapshotS", -0.5},
+        {"dueS", "soon"},   {"flavors", "g8"},  {"flavors", {1}},   {"together", "yes"},  {"bundle", nullptr},
+        {"owner", ""},      {"imageGb", -2},    {"yard", 4},        {"accelerators", -1}, {"jobclass", nullptr}};
+    for (const auto& [field, value] : cases) {
+        auto j = good_job();
+        j[field] = value;
+        EXPECT_TRUE(complaint(j).starts_with(field)) << field << " = " << value << ": " << complaint(j);
+    }
+    EXPECT_TRUE(std::holds_alternative<codec::Invalid>(codec::submission("{\"id\":")));
+    EXPECT_TRUE(std::holds_alternative<codec::Invalid>(codec::submission("[1]")));
+}
+
+TEST(Submission, NullAndMissingAreTheSameAndUnknownFieldsAreIgnored) {
+    auto j = good_job();
+    j.erase("yard");
+    j["flavors"] = nullptr;
+    j["dueS"] = nullptr;
+    j["colour"] = "blue";
+    const auto r = codec::submission(j.dump());
+    ASSERT_TRUE(std::holds_alternative<JobSpec>(r));
+    EXPECT_LT(std::get<JobSpec>(r).deadline_s, 0);
+}
+
+TEST(Reports, TruncatedOrIllTypedOnesAreNoAnswer) {
+    const std::string good = R"({"host":"n-1","addr":"10.0.0.9:9000","flavor":"g8","yard":"a","standby":true,
+        "tenure":1,"counter":88,"fence":41,"evictionInS":null,
+        "shards":[{"shard":"wk-000412/3","try":2,"status":"running"},
+                  {"shard":"wk-000398/0","try":1,"status":"ended","exitCause":"done"}]})";
+    const auto r = codec::report(good);
+    ASSERT_TRUE(r);
+    EXPECT_EQ(r->tasks.size(), 2U);
+    EXPECT_EQ(r->tasks[1].cause, ExitCause::done);
+    for (std::size_t n = 0; n + 1 < good.size(); ++n) EXPECT_FALSE(codec::report(good.substr(0, n))) << n;
+    EXPECT_FALSE(codec::report(R"({"host":"n-1","tenure":"1","counter":2})"));
+    EXPECT_FALSE(codec::report(R"({"host":"n-1","tenure":1,"counter":2,"shards":[{"shard":"x","try":1,"status":"running"}]})"));
+    EXPECT_FALSE(codec::report(R"({"host":"n-1","tenure":1,"counter":2,"shards":{}})"));
+}
+
+TEST(Answers, OfCloudAndStoreAreCheckedBeforeUse) {
+    EXPECT_FALSE(codec::machine_types(R"({"flavors":[{"name":"g8","cpus":0}]})"));
+    EXPECT_FALSE(codec::machine_types("[]"));
+    EXPECT_FALSE(codec::rented(R"({"hosts":[1]})"));
+    EXPECT_FALSE(codec::machine_page(R"({"hosts":[{"addr":"x"}]})"));
+    EXPECT_FALSE(codec::item(R"({"k":"a"})"));
+    EXPECT_FALSE(codec::page(R"({"entries":[{"k":"a"}],"epoch":3})"));
+    EXPECT_FALSE(codec::events(R"({"events":[]})"));
+    EXPECT_FALSE(codec::hold_of(R"({"lease":"7"})"));
+    const auto e = codec::events(R"({"epoch":433,"events":[{"set":"c/9","data":{},"stamp":433},{"delete":"c/d","stamp":432}]})");
+    ASSERT_TRUE(e);
+    EXPECT_TRUE(e->items[1].deleted);
+}
+
+} // namespace
+} // namespace heronshift
--- /dev/null
+++ b/tests/test_core.cpp
@@ -0,0 +1,170 @@
+// Stories of single guards: each fails when its guard is taken out.
+#include "world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift::testing {
+namespace {
+
+template <class T> std::vector<T> all(const std::vector<Effect>& effects) {
+    std::vector<T> out;
+    for (const auto& e : effects)
+        if (const auto* x = std::get_if<T>(&e)) out.push_back(*x);
+    return out;
+}
+
+// A core with one machine that has reported once and one task launched on it.
+struct OneTask {
+    Settings settings = small_settings();
+    Core core{settings, 7, {}, 0, 0};
+    double now = 0;
+    std::vector<Effect> effects;
+    SendOrders launch;
+    std::uint64_t fence = std::uint64_t{7} << fence_bits;
+
+    bool store_answers = true;
+
+    void take(std::vector<Command> q, std::vector<Effect>& out) {
+        now += 0.05;
+        const auto effects = core.step(q, now, now);
+        for (const auto& e : effects) {
+            out.push_back(e);
+            if (store_answers && std::holds_alternative<Commit>(e)) take({Committed{}}, out);
+        }
+    }
+    std::vector<Effect> give(Command c) {
+        std::vector<Effect> out;
+        take({std::move(c)}, out);
+        return out;
+    }
+    std::vector<Effect> idle(double s) {
+        std::vector<Effect> out;
+        for (const double end = now + s; now < end;) take({}, out);
+        return out;
+    }
+    static Report report(std::uint64_t counter, std::uint64_t fence, std::vector<ReportedTask> tasks = {},
+                         std::uint64_t tenure = 1) {
+        return {"n-1", "10.1.0.1:9000", "m8", "a", false, tenure, counter, fence, -1, std::move(tasks)};
+    }
+
+    OneTask() {
+        give(TypesKnown{small_types()});
+        give(Beat{report(1, 0), 1});
+        find_launch(give(JobStored{job(1, Shape::service, 1, 4), 0}));
+        find_launch(idle(0.5));
+    }
+    void find_launch(const std::vector<Effect>& list) {
+        for (const auto& o : all<SendOrders>(list))
+            if (o.orders.front().verb == Verb::launch) launch = o;
+    }
+};
+
+TEST(Core, LaunchesOnlyWhatTheStoreHolds) {
+    OneTask s;
+    ASSERT_EQ(s.launch.orders.size(), 1U);
+    s.give(OrdersAnswered{"n-1", s.launch.batch, 200, true,
+                          OneTask::report(2, s.fence, {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running,
+                                                        ExitCause::none, false}})});
+    s.store_answers = false; // the answer of the store is still out
+    auto effects = s.give(JobStored{job(2, Shape::service, 1, 1), 0});
+    for (auto& e : s.idle(1)) effects.push_back(e);
+    EXPECT_EQ(all<Commit>(effects).size(), 1U);
+    EXPECT_TRUE(all<SendOrders>(effects).empty());
+    EXPECT_FALSE(all<SendOrders>(s.give(Committed{})).empty());
+}
+
+TEST(Core, AnOldReportProvesNothing) {
+    OneTask s;
+    // Answer lost; then a report from before the launch arrives late.
+    s.give(OrdersAnswered{"n-1", s.launch.batch, 0, true, std::nullopt});
+    s.give(Beat{OneTask::report(2, 0), 2});
+    EXPECT_EQ(s.core.live_tasks("wk-000001"), 1U);
+    // So does one that has seen only the fence of the launch itself.
+    s.give(Beat{OneTask::report(3, s.fence), 3});
+    EXPECT_EQ(s.core.live_tasks("wk-000001"), 1U);
+}
+
+TEST(Core, ARaisedFenceSeenInAReportSettlesALostLaunch) {
+    OneTask s;
+    s.give(OrdersAnswered{"n-1", s.launch.batch, 0, true, std::nullopt});
+    const auto answers = all<BeatAnswer>(s.give(Beat{OneTask::report(2, s.fence), 2}));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].fence, s.fence + 1);
+    // Started again under a new attempt: a launch is never sent twice.
+    const auto first = s.launch.orders.at(0).try_no;
+    s.launch = {};
+    s.find_launch(s.give(Beat{OneTask::report(3, s.fence + 1), 3}));
+    s.find_launch(s.idle(1.5));
+    s.find_launch(s.give(Beat{OneTask::report(4, s.fence + 1), 4}));
+    s.find_launch(s.idle(1));
+    ASSERT_FALSE(s.launch.orders.empty());
+    EXPECT_NE(s.launch.orders[0].try_no, first);
+}
+
+TEST(Core, ANewTenureMeansThatAllTasksAreGone) {
+    OneTask s;
+    s.give(Beat{OneTask::report(2, s.fence, {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running,
+                                             ExitCause::none, false}}),
+                2});
+    EXPECT_EQ(s.core.view("wk-000001")->running, 1U);
+    s.give(Beat{OneTask::report(1, s.fence, {}, 2), 3});
+    EXPECT_EQ(s.core.view("wk-000001")->running, 0U);
+}
+
+TEST(Core, ASilentMachineIsOccupiedUntilItsLeaseHasSurelyRunOut) {
+    OneTask s;
+    s.give(Beat{OneTask::report(2, s.fence, {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running,
+                                             ExitCause::none, false}}),
+                2});
+    s.idle(s.settings.lease_s - 0.5);
+    EXPECT_EQ(s.core.live_tasks("wk-000001"), 1U);
+    s.idle(2);
+    EXPECT_EQ(s.core.live_tasks("wk-000001"), 0U);
+}
+
+TEST(Core, AHigherTermInAReportEndsTheOffice) {
+    OneTask s;
+    const auto effects = s.give(Beat{OneTask::report(2, std::uint64_t{8} << fence_bits), 2});
+    EXPECT_EQ(all<StepDown>(effects).size(), 1U);
+    EXPECT_EQ(all<BeatAnswer>(effects).at(0).status, 503);
+    EXPECT_FALSE(s.core.view("wk-000001"));
+}
+
+TEST(Core, DoneIsReapedOnlyOnceTheStoreHoldsIt) {
+    OneTask s;
+    s.give(JobStored{job(2, Shape::array, 2, 1), 0});
+    const std::vector<ReportedTask> done{{"wk-000002", 0, 5, TaskState::ended, ExitCause::done, false}};
+    auto reaps = [&](std::uint64_t counter) {
+        std::size_t n = 0;
+        for (const auto& a : all<BeatAnswer>(s.give(Beat{OneTask::report(counter, s.fence, done), counter})))
+            for (const auto& o : a.orders) n += o.verb == Verb::reap;
+        return n;
+    };
+    EXPECT_EQ(reaps(10), 0U);
+    s.idle(2);
+    EXPECT_EQ(reaps(11), 1U);
+}
+
+TEST(Core, AFinishedJobIsNotBroughtBackByALateEvent) {
+    OneTask s;
+    s.give(CancelAsked{"wk-000001", 9});
+    s.idle(0.5);
+    s.give(Beat{OneTask::report(9, s.fence + 1), 2});
+    s.idle(1);
+    s.give(JobStored{job(1, Shape::service, 1, 4), 0});
+    ASSERT_TRUE(s.core.view("wk-000001"));
+    EXPECT_EQ(s.core.view("wk-000001")->status, codec::status_cancelled);
+}
+
+TEST(Core, AReleasedMachineStaysGoneWhateverALateListSays) {
+    OneTask s;
+    const auto before = s.core.machine_count();
+    s.give(Released{{"n-1"}, true});
+    EXPECT_EQ(s.core.live_tasks("wk-000001"), 0U);
+    s.give(Listed{{{"n-1", "10.1.0.1:9000", "m8", "a", "running", false, 50}}, 0});
+    EXPECT_EQ(all<BeatAnswer>(s.give(Beat{OneTask::report(50, 0), 50})).at(0).status, 503);
+    EXPECT_EQ(s.core.machine_count(), before - 1);
+}
+
+} // namespace
+} // namespace heronshift::testing
--- /dev/null
+++ b/tests/test_world.cpp
@@ -0,0 +1,142 @@
+// Whole days in small, with fixed seeds: every rule is checked after every step.
+#include "world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift::testing {
+namespace {
+
+std::string first(const World& w) {
+    return w.broken.empty() ? "" : w.broken.front();
+}
+
+TEST(World, AQuietDayRunsEverything) {
+    World w(1);
+    w.take_office();
+    w.submit(job(1, Shape::array, 20, 2));
+    w.submit(job(2, Shape::gang, 3, 4));
+    auto service = job(3, Shape::service, 3, 1, "blue");
+    service.spread = true;
+    w.submit(service);
+    w.run(120);
+    EXPECT_EQ(first(w), "");
+    EXPECT_EQ(w.told["wk-000001"], codec::status_done);
+    EXPECT_EQ(w.told["wk-000002"], codec::status_done);
+    EXPECT_EQ(w.core->view("wk-000003")->running, 3U);
+    // Nothing waits any more: what is empty has been returned.
+    EXPECT_LE(w.workers.size(), 3U);
+}
+
+TEST(World, CancelledWorkIsGoneInTimeAlsoBehindACut) {
+    World w(2);
+    w.take_office();
+    w.submit(job(1, Shape::service, 3, 4));
+    w.run(30);
+    ASSERT_EQ(w.core->view("wk-000001")->running, 3U);
+    w.workers.begin()->second.cut = true;
+    w.cancel("wk-000001");
+    w.run(w.settings.cancel_s + 5);
+    EXPECT_EQ(first(w), "");
+    EXPECT_EQ(w.told["wk-000001"], codec::status_cancelled);
+    w.run(20);
+    EXPECT_FALSE(w.store.contains("j/wk-000001"));
+    EXPECT_TRUE(w.store.contains("f/wk-000001"));
+}
+
+TEST(World, ATakeoverKeepsWhatRunsAndCountsWhatItCannotSee) {
+    World w(3);
+    w.take_office();
+    w.submit(job(1, Shape::service, 4, 4));
+    w.run(30);
+    ASSERT_EQ(w.core->live_tasks("wk-000001"), 4U);
+    w.workers.begin()->second.cut = true; // still runs what it has
+    const int before = w.started;
+    w.take_office();
+    w.step();
+    // The intent counts until the machine says otherwise or its lease has surely run out.
+    EXPECT_EQ(w.core->live_tasks("wk-000001"), 4U);
+    w.run(5);
+    EXPECT_EQ(w.started, before);
+    w.run(40);
+    EXPECT_GT(w.started, before);
+    EXPECT_EQ(first(w), "");
+}
+
+TEST(World, ASickMachineIsReplacedAndABadJobTakesNoMachineDown) {
+    World w(4);
+    w.take_office();
+    w.submit(job(1, Shape::array, 30, 2));
+    w.run(14);
+    ASSERT_FALSE(w.workers.empty());
+    w.workers.begin()->second.sick = true;
+    for (int i = 2; i < 8; ++i) w.submit(job(i, Shape::array, 12, 2, "blue"));
+    w.run(200);
+    EXPECT_EQ(first(w), "");
+    for (int i = 1; i < 8; ++i) EXPECT_EQ(w.told[fmt::format("wk-{:06}", i)], codec::status_done) << i;
+}
+
+// Crashes of the holder, cuts, hangs, lost and late messages, refused transactions.
+class Trouble : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Trouble, BreaksNoRule) {
+    World w(GetParam());
+    w.beat_loss = 0.05;
+    w.order_loss = 0.1;
+    w.late = 0.05;
+    w.take_office();
+    int n = 0;
+    double next_job = 0, next_trouble = 10;
+    while (w.now < 400 && w.broken.empty()) {
+        if (w.now >= next_job && n < 60) {
+            next_job = w.now + w.between(1, 8);
+            const auto shape = w.chance() < 0.5 ? Shape::array : w.chance() < 0.5 ? Shape::gang : Shape::service;
+            auto j = job(++n, shape, 1 + static_cast<std::uint32_t>(w.between(0, 7)), 1 + std::floor(w.between(0, 3)),
+                         w.chance() < 0.5 ? "red" : "blue");
+            if (shape == Shape::service) j.tasks = 1 + j.tasks % 3;
+            j.spread = shape == Shape::service && w.chance() < 0.5;
+            j.one_zone = shape == Shape::gang && w.chance() < 0.5;
+            w.submit(j);
+        }
+        if (n > 0 && w.chance() < 0.01) w.cancel(fmt::format("wk-{:06}", 1 + static_cast<int>(w.between(0, n))));
+        if (w.now >= next_trouble) {
+            next_trouble = w.now + w.between(3, 20);
+            auto pick = [&]() -> World::Worker* {
+                if (w.workers.empty()) return nullptr;
+                auto it = w.workers.begin();
+                std::advance(it, static_cast<long>(w.between(0, static_cast<double>(w.workers.size()) - 0.01)));
+                return &it->second;
+            };
+            auto* x = pick();
+            const double c = w.chance();
+            if (c < 0.3 || !w.core) {
+                w.core.reset();
+                w.send(w.between(0.5, 8), [&w] { w.take_office(); });
+            } else if (c < 0.5 && x != nullptr) {
+                x->cut = true;
+                w.send(w.between(1, 25), [&w, id = x->id] {
+                    if (w.workers.contains(id)) w.workers[id].cut = false;
+                });
+            } else if (c < 0.65 && x != nullptr) {
+                x->hung = true;
+                w.send(w.between(1, 25), [&w, id = x->id] {
+                    if (w.workers.contains(id)) w.workers[id].hung = false;
+                });
+            } else if (c < 0.75 && x != nullptr) {
+                x->dead = true;
+            } else if (c < 0.85) {
+                w.store_down = true;
+                w.send(w.between(1, 12), [&w] { w.store_down = false; });
+            } else if (x != nullptr) {
+                x->sick = true;
+            }
+        }
+        w.step();
+    }
+    EXPECT_EQ(first(w), "") << "at " << w.now;
+    EXPECT_GT(w.started, 20);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Trouble, ::testing::Range(100U, 112U));
+
+} // namespace
+} // namespace heronshift::testing
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,363 @@
+// A small cluster in memory for stories: a store, a cloud, workers that follow the protocol and a
+// network that delays, loses and holds messages. After every step all rules are checked.
+#pragma once
+
+#include "heronshift/core.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace heronshift::testing {
+
+inline Settings small_settings() {
+    Settings s;
+    s.name = "berth-0";
+    s.zones = {"a", "b"};
+    s.teams = {{"red", 20, 40, 0, 0}, {"blue", 20, 60, 0, 0}};
+    s.report_s = 2;
+    s.lease_s = 10;
+    s.cancel_s = 40;
+    s.state_rps = 200;
+    s.state_write_rps = 80;
+    s.txn_ops = 24;
+    return s;
+}
+
+inline std::vector<MachineType> small_types() {
+    return {{"m8", {8, 0, 32}, 50, 1, 2, 1, 5, {"a", "b"}}};
+}
+
+struct World {
+    struct Worker {
+        std::string id, zone, addr;
+        bool spot = false, cut = false, dead = false, sick = false, hung = false;
+        std::uint64_t tenure = 1, counter = 0, fence = 0;
+        double lease_from = 0, next_beat = 0;
+        struct Run {
+            std::string job;
+            std::uint32_t index = 0;
+            std::uint64_t try_no = 0;
+            TaskState state = TaskState::fetching;
+            ExitCause cause = ExitCause::none;
+            double until = 0;
+        };
+        std::vector<Run> tasks;
+    };
+    struct Message {
+        double at = 0;
+        std::function<void()> f;
+    };
+
+    explicit World(unsigned seed) : rng(seed) {}
+
+    Settings settings = small_settings();
+    std::mt19937 rng;
+    double now = 0, beat_loss = 0, order_loss = 0, late = 0;
+    bool store_down = false;
+    std::map<std::string, codec::Json> store;
+    std::uint64_t term = 0;
+    std::map<std::string, Worker> workers;
+    std::map<std::string, JobSpec> jobs;
+    std::map<std::string, double> cancelled; // told to the user
+    std::set<std::string> done_tasks;
+    std::map<std::string, std::string> told; // final states heard
+    std::vector<Message> messages;
+    std::unique_ptr<Core> core;
+    std::uint64_t core_id = 0; // answers for an earlier core are dropped
+    std::vector<Command> queue;
+    std::map<std::uint64_t, std::function<void(int, std::uint64_t, std::vector<Order>)>> beats;
+    std::map<std::uint64_t, std::string> cancels;
+    std::uint64_t handles = 0;
+    int capacity = 6, machines = 0, started = 0;
+    std::vector<std::string> broken;
+    std::set<std::string> claims;
+
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(rng); }
+    double between(double a, double b) { return std::uniform_real_distribution<double>(a, b)(rng); }
+    void send(double delay, std::function<void()> f) { messages.push_back({now + delay, std::move(f)}); }
+
+    // A new holder of the office: everything it knows is what the store holds.
+    void take_office() {
+        ++term;
+        ++core_id;
+        Snapshot s;
+        for (const auto& [k, v] : store) {
+            codec::Item i{k, v, 1, false};
+            if (k.starts_with("j/")) s.jobs.push_back(i);
+            if (k.starts_with("d/")) s.progress.push_back(i);
+            if (k.starts_with("m/")) s.machines.push_back(i);
+        }
+        queue.clear();
+        beats.clear();
+        cancels.clear();
+        core = std::make_unique<Core>(settings, term, s, now, now);
+        queue.push_back(TypesKnown{small_types()});
+    }
+
+    void submit(JobSpec spec) {
+        jobs[spec.id] = spec;
+        store["j/" + spec.id] = codec::Json{{"spec", codec::to_json(spec)}, {"at", now}};
+        queue.push_back(JobStored{spec, 0});
+    }
+
+    void cancel(const std::string& id) {
+        if (!core || store.contains("f/" + id)) return;
+        const auto h = ++handles;
+        cancels[h] = id;
+        queue.push_back(CancelAsked{id, h});
+    }
+
+    Report report(Worker& w) {
+        Report r{w.id, w.addr, "m8", w.zone, w.spot, w.tenure, ++w.counter, w.fence, -1, {}};
+        for (const auto& t : w.tasks) r.tasks.push_back({t.job, t.index, t.try_no, t.state, t.cause, false});
+        return r;
+    }
+
+    void execute(Worker& w, const std::vector<Order>& orders) {
+        for (const auto& o : orders) {
+            auto it = std::find_if(w.tasks.begin(), w.tasks.end(), [&](const auto& t) {
+                return t.job == o.job && t.index == o.index && t.try_no == o.try_no;
+            });
+            if (o.verb == Verb::launch) {
+                if (it != w.tasks.end()) continue;
+                Worker::Run t{o.job, o.index, o.try_no, TaskState::fetching, ExitCause::none, now + between(0.1, 2)};
+                Resources used = jobs[o.job].each;
+                for (const auto& x : w.tasks)
+                    if (x.state != TaskState::ended) used += jobs[x.job].each;
+                if (!used.fits(small_types()[0].room)) {
+                    t.state = TaskState::ended;
+                    t.cause = ExitCause::no_room;
+                }
+                w.tasks.push_back(t);
+            } else if (o.verb == Verb::stop) {
+                if (it == w.tasks.end() || it->state == TaskState::ended) continue;
+                it->state = TaskState::ended;
+                it->cause = ExitCause::stopped;
+            } else if (it != w.tasks.end() && it->state == TaskState::ended) {
+                w.tasks.erase(it);
+            }
+        }
+    }
+
+    void on_machine(Worker& w, Worker::Run& t) {
+        const auto name = fmt::format("{}/{}", t.job, t.index);
+        const auto& spec = jobs[t.job];
+        ++started;
+        int here = 0, in_zone = 0;
+        Resources used;
+        for (const auto& [id, x] : workers) {
+            if (x.dead) continue;
+            for (const auto& r : x.tasks) {
+                if (r.state != TaskState::running && r.state != TaskState::waiting) continue;
+                if (r.job == t.job && r.index == t.index) ++here;
+                if (r.job == t.job && x.zone == w.zone) ++in_zone;
+                if (r.job == t.job && spec.one_zone && x.zone != w.zone) broken.push_back("wrong_place " + name);
+                if (jobs[r.job].team == spec.team) used += jobs[r.job].each;
+            }
+        }
+        if (here > 1) broken.push_back("ran_twice " + name);
+        if (spec.spread && in_zone > static_cast<int>((spec.tasks + 1) / 2)) broken.push_back("wrong_place " + name);
+        if (w.spot && !spec.spot) broken.push_back("wrong_place " + name);
+        for (const auto& l : settings.teams)
+            if (l.name == spec.team && used.cpus > l.cpus_max + 1e-6) broken.push_back("quota " + name);
+        if (cancelled.contains(t.job) && now > cancelled[t.job] + settings.cancel_s) broken.push_back("ran_cancelled " + name);
+    }
+
+    void run_worker(Worker& w) {
+        if (w.dead) return;
+        if (now > w.lease_from + settings.lease_s) {
+            w.tasks.clear();
+            ++w.tenure;
+            w.lease_from = now;
+        }
+        if (w.hung) return;
+        for (auto& t : w.tasks) {
+            if (t.state == TaskState::fetching && now >= t.until) {
+                if (w.sick) {
+                    t.state = TaskState::ended;
+                    t.cause = ExitCause::error;
+                    continue;
+                }
+                t.state = TaskState::running;
+                t.until = now + between(2, 12);
+                on_machine(w, t);
+            } else if (t.state == TaskState::running && now >= t.until && jobs[t.job].shape != Shape::service) {
+                t.state = TaskState::ended;
+                t.cause = ExitCause::done;
+                if (jobs[t.job].shape == Shape::gang)
+                    for (std::uint32_t i = 0; i < jobs[t.job].tasks; ++i) done_tasks.insert(fmt::format("{}/{}", t.job, i));
+                done_tasks.insert(fmt::format("{}/{}", t.job, t.index));
+            }
+        }
+        if (now >= w.next_beat) {
+            w.next_beat = now + settings.report_s * between(0.75, 1.25);
+            if (w.cut) return;
+            const double sent = now;
+            auto r = report(w);
+            const double delay = chance() < late ? between(5, 60) : between(0, 0.2);
+            if (chance() < beat_loss) return;
+            send(delay, [this, id = w.id, r, sent, tenure = w.tenure] {
+                if (!core) return;
+                const auto h = ++handles;
+                beats[h] = [this, id, sent, tenure](int status, std::uint64_t fence, std::vector<Order> orders) {
+                    send(between(0, 0.2), [this, id, sent, tenure, status, fence, orders] {
+                        auto it = workers.find(id);
+                        if (it == workers.end() || it->second.dead || it->second.hung || it->second.cut) return;
+                        auto& x = it->second;
+                        if (status != 200 || now > sent + 4 || x.tenure != tenure || fence < x.fence) return;
+                        x.fence = fence;
+                        x.lease_from = std::max(x.lease_from, sent);
+                        execute(x, orders);
+                    });
+                };
+                queue.push_back(Beat{r, h});
+            });
+        }
+    }
+
+    void perform(const Effect& effect) {
+        if (const auto* c = std::get_if<Commit>(&effect)) {
+            send(between(0.01, 0.5), [this, id = core_id, t = term, writes = c->writes] {
+                if (t != term) return; // the guard on the round fails
+                TxnOutcome out = TxnOutcome::refused;
+                if (!store_down) {
+                    out = TxnOutcome::applied;
+                    for (const auto& w : writes) {
+                        if (w.value) store[w.key] = *w.value;
+                        else store.erase(w.key);
+                    }
+                }
+                if (id == core_id) queue.push_back(Committed{out});
+            });
+        } else if (const auto* o = std::get_if<SendOrders>(&effect)) {
+            const bool lost = chance() < order_loss, held = chance() < late;
+            const double delay = held ? between(3, 90) : between(0, 0.1);
+            auto answer = [this, id = core_id](OrdersAnswered a) {
+                if (id == core_id) queue.push_back(std::move(a));
+            };
+            if (!lost)
+                send(delay, [this, o = *o, answer, held] {
+                    auto it = workers.find(o.machine);
+                    if (it == workers.end() || it->second.dead || it->second.hung || it->second.cut) return;
+                    auto& w = it->second;
+                    OrdersAnswered a{o.machine, o.batch, 409, true, std::nullopt};
+                    if (o.fence >= w.fence && o.tenure == w.tenure) {
+                        w.fence = o.fence;
+                        execute(w, o.orders);
+                        a.status = 200;
+                    }
+                    a.report = report(w);
+                    if (!held) send(between(0, 0.1), [answer, a] { answer(a); });
+                });
+            send(1.0, [answer, o = *o] { answer({o.machine, o.batch, 0, true, std::nullopt}); });
+        } else if (const auto* b = std::get_if<BeatAnswer>(&effect)) {
+            if (auto it = beats.find(b->handle); it != beats.end()) {
+                it->second(b->status, b->fence, b->orders);
+                beats.erase(it);
+            }
+        } else if (const auto* a = std::get_if<CancelAnswer>(&effect)) {
+            if (a->status.empty()) return;
+            const auto& id = cancels[a->handle];
+            hear(id, a->status);
+            if (a->status == codec::status_cancelled) cancelled.emplace(id, now);
+        } else if (const auto* r = std::get_if<Rent>(&effect)) {
+            if (!claims.insert(r->claim).second) broken.push_back("claim reused " + r->claim);
+            Rented out{r->claim, RentOutcome::no_capacity, {}};
+            for (int i = 0; i < r->count && capacity > 0; ++i, --capacity) {
+                out.outcome = RentOutcome::rented;
+                const auto id = fmt::format("n-{:04}", ++machines);
+                out.machines.push_back(id);
+                send(between(1, 5), [this, id, r = *r] {
+                    Worker w;
+                    w.id = id;
+                    w.zone = r.zone;
+                    w.addr = id;
+                    w.spot = r.spot;
+                    w.lease_from = w.next_beat = now;
+                    workers[id] = w;
+                });
+            }
+            send(0.2, [this, id = core_id, out] {
+                if (id == core_id) queue.push_back(out);
+            });
+        } else if (const auto* r = std::get_if<Release>(&effect)) {
+            send(0.2, [this, id = core_id, list = r->machines] {
+                for (const auto& m : list)
+                    if (workers.erase(m) > 0) ++capacity;
+                if (id == core_id) queue.push_back(Released{list, true});
+            });
+        } else if (std::get_if<StepDown>(&effect) != nullptr) {
+            core.reset();
+        }
+    }
+
+    void hear(const std::string& id, std::string_view status) {
+        if (status != codec::status_done && status != codec::status_cancelled) {
+            if (told.contains(id)) broken.push_back("went_back " + id);
+            return;
+        }
+        const auto [it, fresh] = told.emplace(id, status);
+        if (!fresh && it->second != status) broken.push_back("went_back " + id);
+        if (status == codec::status_done)
+            for (std::uint32_t i = 0; i < jobs[id].tasks; ++i)
+                if (!done_tasks.contains(fmt::format("{}/{}", id, i))) broken.push_back("not_done " + id);
+    }
+
+    void step(double dt = 0.05) {
+        now += dt;
+        std::vector<Message> due;
+        for (std::size_t i = 0; i < messages.size();) {
+            if (messages[i].at > now) {
+                ++i;
+                continue;
+            }
+            due.push_back(std::move(messages[i]));
+            messages[i] = std::move(messages.back());
+            messages.pop_back();
+        }
+        std::shuffle(due.begin(), due.end(), rng);
+        for (auto& m : due) m.f();
+        for (auto& [id, w] : workers) run_worker(w);
+        if (!core) return;
+        const auto effects = core->step(queue, now, now);
+        for (const auto& e : effects)
+            if (core) perform(e);
+        if (!core) return;
+        for (const auto& [id, spec] : jobs)
+            if (const auto v = core->view(id); v) hear(id, v->status);
+        for (const auto& [id, w] : workers)
+            for (const auto& t : w.tasks)
+                if (!w.dead && t.state == TaskState::running && cancelled.contains(t.job) &&
+                    now > cancelled[t.job] + settings.cancel_s)
+                    broken.push_back("ran_cancelled " + t.job);
+    }
+
+    void run(double seconds) {
+        for (const double end = now + seconds; now < end && broken.empty();) step();
+    }
+};
+
+inline JobSpec job(int n, Shape shape, std::uint32_t tasks, double cpus, const std::string& team = "red") {
+    JobSpec s;
+    s.id = fmt::format("wk-{:06}", n);
+    s.job_class = "c";
+    s.team = team;
+    s.shape = shape;
+    s.rank = shape == Shape::service ? Rank::critical : Rank::normal;
+    s.tasks = tasks;
+    s.each = {cpus, 0, 1};
+    s.image = "img";
+    s.image_gb = 0.5;
+    s.spot = shape == Shape::array;
+    s.estimate_s = shape == Shape::service ? 0 : 7;
+    return s;
+}
+
+} // namespace heronshift::testing
