Place urgent ranks first and never judge them hopeless

Cause: a guaranteed array that found no place made the pass skip a gang for which room had just been made; the gang then stopped another 11 tasks a second.

--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -98,8 +98,9 @@
         return j->spec.deadline_s >= 0 ? j->submitted + j->spec.deadline_s - j->spec.estimate_s : 1e18;
     };
     std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
-        const bool ca = a->spec.rank == Rank::critical, cb = b->spec.rank == Rank::critical;
-        if (ca != cb) return ca;
+        // What may take the place of others goes first, or it would stop them and lose the room.
+        const auto urgent = [](const Job* j) { return std::min(j->spec.rank, Rank::normal); };
+        if (urgent(a) != urgent(b)) return urgent(a) < urgent(b);
         if (a->guaranteed != b->guaranteed) return a->guaranteed;
         if (a->spec.rank != b->spec.rank) return a->spec.rank < b->spec.rank;
         if (due(a) != due(b)) return due(a) < due(b);
@@ -301,6 +302,7 @@
         stop_entry(*best, e, 0);
         ++preempted_;
     }
+    note(0, fmt::format("job {} takes the place of {} tasks on {}", j.spec.id, best_victims.size(), best->id));
     best->reserved_for = &j;
     best->reserved_rank = j.spec.rank;
     best->reserved_until = now_ + s_.report_s;
@@ -323,7 +325,7 @@
         // If a smaller task found no place, a larger one won't.
         const bool hopeless = std::any_of(failed.begin(), failed.end(), [&](const Failed& f) {
             return f.each.fits(j.spec.each) && (f.spot || !j.spec.spot);
-        });
+        }) && j.spec.rank > Rank::high; // room may have been made for those
         if (!hopeless) {
             if (j.spec.shape == Shape::gang) {
                 if (place_gang(j)) budget -= static_cast<int>(j.spec.tasks);
