Size the pool by the services and pack them there

The pool is now the longest-lived ordinary machines that the services need plus headroom; replicas go there, everything else avoids it, rounds pull replicas back. Ruled out: empty machines returned late.

--- a/include/heronshift/config.hpp
+++ b/include/heronshift/config.hpp
@@ -32,6 +32,7 @@
     int pull_back_cap = 2, reorder_cap = 1;   // tasks per round
     double round_s = 10;
     int batch = 8;
+    double headroom = 0.25;     // of what services use, on the pool beyond it
     double empty_s = 0;         // 0: a ratio of the type's boot time
 };
 
--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -182,7 +182,7 @@
         std::vector<Entry> entries;
         Resources used, whole;
         bool record_due = false, recorded = false, record_stale = false;
-        bool draining = false, bad = false, releasing = false, release_asked = false;
+        bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
         double release_retry = 0;
         double notice_until = -1;
         double empty_since = -1, avoid_until = 0, listed_at = -1;
@@ -250,6 +250,7 @@
     bool usable(const Machine& m, const Job& j) const;
     double placement_cost(const Machine& m, const Job& j) const;
     bool is_pool(const Machine& m) const;
+    void choose_pool();
     int quota_room(const Job& j) const;
     int place_single(Job& j);
     bool place_gang(Job& j);
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -95,6 +95,7 @@
     {.name = "reorder-cap", .count = &OperatorSettings::reorder_cap},
     {.name = "round-s", .number = &OperatorSettings::round_s},
     {.name = "batch", .count = &OperatorSettings::batch, .least = 1},
+    {.name = "headroom", .number = &OperatorSettings::headroom},
     {.name = "empty-s", .number = &OperatorSettings::empty_s},
 };
 
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -18,10 +18,42 @@
 
 } // namespace
 
-// The paper's edge: what stays. Here, ordinary machines that have been up for a while; spot
-// machines and fresh rentals are overflow.
+// The paper's edge: what stays. Here, the ordinary machines that have been up longest, in all zones
+// alike, as many as the services need with some to spare; all others are overflow, which is to
+// become empty and go back.
+void Core::choose_pool() {
+    Resources need, largest;
+    for (const auto& [id, j] : jobs_)
+        if (j->spec.shape == Shape::service && j->final == Final::none) {
+            need += j->spec.each * j->spec.tasks;
+            largest.cpus = std::max(largest.cpus, j->spec.each.cpus);
+            largest.memory_gb = std::max(largest.memory_gb, j->spec.each.memory_gb);
+        }
+    need = need * (1 + s_.ops.headroom) + largest * static_cast<double>(s_.zones.size());
+    std::map<int, std::vector<Machine*>> by_zone;
+    std::size_t total = 0;
+    for (auto& [id, m] : machines_) {
+        m->pool = false;
+        if (m->spot || m->status != Status::up || m->bad || m->releasing || m->type < 0 || m->zone < 0) continue;
+        if (types_[static_cast<std::size_t>(m->type)].room.gpus > 0) continue;
+        by_zone[m->zone].push_back(m.get());
+        ++total;
+    }
+    for (auto& [z, list] : by_zone)
+        std::sort(list.begin(), list.end(), [](const Machine* x, const Machine* y) {
+            return x->up_since != y->up_since ? x->up_since < y->up_since : x->id < y->id;
+        });
+    for (std::size_t k = 0; k < total; ++k)
+        for (auto& [z, list] : by_zone) {
+            if (k >= list.size()) continue;
+            if (need.cpus <= 0 || need.memory_gb <= 0) return;
+            list[k]->pool = true;
+            need -= list[k]->whole;
+        }
+}
+
 bool Core::is_pool(const Machine& m) const {
-    return !m.spot && m.up_since >= 0 && now_ - m.up_since > 3 * s_.lease_s;
+    return m.pool;
 }
 
 bool Core::usable(const Machine& m, const Job& j) const {
@@ -49,8 +81,9 @@
         cost += j.spec.image_gb / t.fetch_gb_per_s * (coming ? 0.5 : 1);
     }
     if (j.spec.spot && !m.spot) cost += 2;
+    const bool lasting = j.spec.shape == Shape::service;
+    if (lasting != is_pool(m)) cost += lasting ? 15 : 4;
     if (j.spec.each.gpus <= 0 && t.room.gpus > 0) cost += 20; // accelerators are for those who need them
-    if (!is_pool(m)) cost += 1;
     // Full machines first, so that others become empty and can be returned.
     cost += 2 * (m.whole.cpus - m.used.cpus) / std::max(1.0, m.whole.cpus);
     cost += 5 * std::max(0.0, m.slow - 1.5);
@@ -165,7 +198,7 @@
             double cost = -1;
             if (usable(*m, *jobs[g])) {
                 cost = placement_cost(*m, *jobs[g]);
-                if (is_pool(*m)) {
+                if (is_pool(*m) && jobs[g]->spec.shape == Shape::service) {
                     const placement::Payoff f{s_.ops.alpha, s_.ops.beta, s_.ops.gamma};
                     cost = std::max(0.0, cost + 1 - placement::pool_gain(f, jobs[g]->on_pool, jobs[g]->spec.tasks,
                                                                          s_.ops.target_share) /
@@ -312,6 +345,7 @@
 void Core::schedule() {
     if (types_.empty()) return;
     mark_guarantees();
+    choose_pool();
     const auto jobs = waiting_jobs();
     struct Failed {
         Resources each;
@@ -532,10 +566,10 @@
         if (!j->pending.empty() && j->final == Final::none) return;
     std::vector<Candidate> list;
     for (auto& [id, m] : machines_) {
-        if (m->status != Status::up || is_pool(*m) || m->spot) continue;
+        if (m->status != Status::up || is_pool(*m)) continue;
         for (std::size_t i = 0; i < m->entries.size(); ++i) {
             const auto& e = m->entries[i];
-            if (!movable(e)) continue;
+            if (!movable(e) || e.job->spec.shape != Shape::service) continue;
             const double gain = placement::pool_gain(f, e.job->on_pool, e.job->spec.tasks, s_.ops.target_share);
             list.push_back({gain / placement::task_size(e.job->spec.each, pool), m.get(), i});
         }
