Clear an intent only by a report that has seen our own term

Cause: after a takeover a report held since before a launch carried the old term's fence, which was above the 0 given to intents read from the store, so the task was started a second time.

--- a/src/core.cpp
+++ b/src/core.cpp
@@ -110,7 +110,9 @@
             if (j == nullptr || index >= j->tasks.size()) continue;
             auto& entry = add_entry(m, *j, index, std::strtoull(text.c_str() + colon + 1, nullptr, 10));
             entry.phase = Phase::sent;
-            entry.fence = 0; // any fence of ours proves more
+            // Only a report that has seen our own term proves anything: one from before the launch
+            // may arrive late, and we have no count of this machine's to tell.
+            entry.fence = (term_ << fence_bits) - 1;
             entry.tenure = m.tenure;
             if (j->final != Final::none) stop_entry(m, entry, 0);
         }
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -84,6 +84,27 @@
     EXPECT_EQ(s.core.live_tasks("wk-000001"), 1U);
 }
 
+TEST(Core, AfterATakeoverOnlyAReportThatHasSeenOurTermClearsAnIntent) {
+    const auto settings = small_settings();
+    Snapshot stored;
+    const auto spec = job(1, Shape::service, 1, 4);
+    stored.jobs.push_back({"j/wk-000001", {{"spec", codec::to_json(spec)}, {"at", 0.0}}, 1, false});
+    stored.machines.push_back({"m/n-1",
+                               {{"addr", "10.1.0.1:9000"}, {"flavor", "m8"}, {"yard", "a"}, {"standby", false},
+                                {"tenure", 1}, {"tasks", {"wk-000001/0:5"}}},
+                               1, false});
+    Core core(settings, 7, stored, 0, 0);
+    auto beat = [&](std::uint64_t counter, std::uint64_t fence) {
+        std::vector<Command> q{Beat{OneTask::report(counter, fence), counter}};
+        core.step(q, 0.1, 0.1);
+    };
+    // Found by a seed of the world: held since before the launch, it carries the old term's fence.
+    beat(2, (std::uint64_t{6} << fence_bits) + 3);
+    EXPECT_EQ(core.live_tasks("wk-000001"), 1U);
+    beat(9, std::uint64_t{7} << fence_bits);
+    EXPECT_EQ(core.live_tasks("wk-000001"), 0U);
+}
+
 TEST(Core, ARaisedFenceSeenInAReportSettlesALostLaunch) {
     OneTask s;
     s.give(OrdersAnswered{"n-1", s.launch.batch, 0, true, std::nullopt});
