--- a/src/node.cpp
+++ b/src/node.cpp
@@ -35,7 +35,7 @@
       agents_(loop, 1, 4), peer_client_(loop, 8, 64),
       // What a user's read may take when this node is alone with the store.
       store_budget_(s_.state_rps / 4, s_.state_rps / 6),
-      submit_budget_(s_.state_write_rps / 3, s_.state_write_rps * 2 / 3),
+      submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
       cloud_budget_(s_.cloud_rps * 0.8, std::max(1.0, s_.cloud_rps)),
       // Long enough to outlast a short outage of the store together with the workers' leases.
       ttl_s_(std::min(s_.lease_s / 2, 2.5 * s_.report_s)) {}
