--- a/include/heronshift/config.hpp
+++ b/include/heronshift/config.hpp
@@ -29,7 +29,7 @@
 struct OperatorSettings {
     double alpha = 1, beta = 0.1, gamma = 10; // payoff, see docs/design.md
     double target_share = 1;                  // of a job's tasks on the pool
-    int pull_back_cap = 2, reorder_cap = 1;   // tasks per round
+    int pull_back_cap = 5, reorder_cap = 3;   // tasks per round
     double round_s = 10;
     int batch = 8;
     double headroom = 0.25;     // of what services use, on the pool beyond it
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -128,17 +128,16 @@
         }
     }
     // Among equals the job with the least work left goes first, since that brings the most jobs home
-    // in time; those that have missed an aim already wait for the others.
-    std::unordered_map<const Job*, std::pair<int, double>> key;
-    for (const auto* j : out) key[j] = {aims_missed(*j), work_left(*j)};
+    // in time; those that have missed every aim already wait for the others.
+    std::unordered_map<const Job*, std::pair<bool, double>> key;
+    for (const auto* j : out) key[j] = {hopelessly_late(*j), work_left(*j)};
     std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
         // What may take the place of others goes first, or it would stop them and lose the room.
         const auto urgent = [](const Job* j) { return std::min(j->spec.rank, Rank::normal); };
         if (urgent(a) != urgent(b)) return urgent(a) < urgent(b);
-        const bool ga = fresh_guaranteed(*a), gb = fresh_guaranteed(*b);
-        if (ga != gb) return ga;
+        if (a->guaranteed != b->guaranteed) return a->guaranteed;
         const auto &ka = key[a], &kb = key[b];
-        if (ka.first != kb.first) return ka.first < kb.first;
+        if (ka.first != kb.first) return !ka.first;
         if (ka.second != kb.second) return ka.second < kb.second;
         if (a->submitted != b->submitted) return a->submitted < b->submitted;
         return a->spec.id < b->spec.id;
@@ -146,32 +145,20 @@
     return out;
 }
 
-// Work within a guarantee need not wait for other teams, for as long as the operators' aim gives
-// it to start; after that it is as urgent as its own aims make it.
-bool Core::fresh_guaranteed(const Job& j) const {
-    if (!j.guaranteed) return false;
-    for (const auto& o : s_.objectives)
-        if (o.kind == "guarantee") return now_ - j.submitted < o.within_s;
-    return true;
-}
-
-// CPU seconds that the tasks not started yet take by their owner's estimate.
+// CPU seconds that the tasks not done yet take by their owner's estimate.
 double Core::work_left(const Job& j) const {
     return j.spec.each.cpus * (j.spec.tasks - j.done) * std::max(1.0, j.spec.estimate_s);
 }
 
-// How many of the operators' aims for its class the job has missed, or would miss even if all of
-// it started now: work that can still be in time goes before work that no longer can.
-int Core::aims_missed(const Job& j) const {
-    int missed = 0;
+// Too late for the last of the operators' aims for its class.
+bool Core::hopelessly_late(const Job& j) const {
+    double last = 0;
     for (const auto& o : s_.objectives) {
         if (o.job_class != j.spec.job_class) continue;
-        double due = 0;
-        if (o.kind == "deadline" && j.spec.deadline_s >= 0) due = o.times * j.spec.deadline_s;
-        if (o.kind == "finished") due = o.within_s;
-        if (due > 0 && now_ - j.submitted + j.spec.estimate_s / 2 > due) ++missed;
+        if (o.kind == "deadline" && j.spec.deadline_s >= 0) last = std::max(last, o.times * j.spec.deadline_s);
+        if (o.kind == "finished") last = std::max(last, o.within_s);
     }
-    return missed;
+    return last > 0 && now_ - j.submitted + j.spec.estimate_s / 2 > last;
 }
 
 void Core::place(Job& j, Machine& m) {
