--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -299,7 +299,7 @@
 
     std::map<std::string, Pending> rentals_;
     std::map<std::string, double> no_capacity_; // "type/zone/kind" -> not before
-    Resources common_shape_;
+    Resources common_shape_, service_shape_;
     std::uint64_t launched_ = 0, lost_ = 0, preempted_ = 0, committed_ = 0, moved_ = 0;
 };
 
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -29,6 +29,7 @@
             largest.cpus = std::max(largest.cpus, j->spec.each.cpus);
             largest.memory_gb = std::max(largest.memory_gb, j->spec.each.memory_gb);
         }
+    service_shape_ = largest;
     need = need * (1 + s_.ops.headroom) + largest * static_cast<double>(s_.zones.size());
     std::map<int, std::vector<Machine*>> by_zone;
     std::size_t total = 0;
@@ -63,6 +64,9 @@
         j.spec.rank >= m.reserved_rank)
         return false;
     const auto& spec = j.spec;
+    // On the pool, room for the next replica stays free: making it would cost that replica's aim.
+    if (is_pool(m) && spec.shape != Shape::service && !(spec.each + service_shape_ * 2).fits(m.whole - m.used))
+        return false;
     if (m.spot && !spec.spot) return false;
     if (!allows(spec.types, m.type_name) || (!spec.zone.empty() && spec.zone != m.zone_name)) return false;
     if (m.entries.size() >= static_cast<std::size_t>(s_.value_kb * 1024 / 64)) return false; // its record's limit
