--- a/src/core.cpp
+++ b/src/core.cpp
@@ -636,6 +636,8 @@
                 if (m.entries[i].phase == Phase::intent || m.entries[i].phase == Phase::stored) remove_entry(m, i);
             m.status = Status::lost;
             m.empty_since = now_;
+            // Else the next holder would count these tasks for a whole lease again.
+            if (m.recorded) request_record(m, false);
         }
         // Gone from the list for good, or never there: nothing of it is left to keep.
         const bool unlisted = now_ - std::max(m.listed_at, m.known_since) > 4 * s_.list_lag_s + 2 * s_.lease_s;
@@ -727,6 +729,13 @@
         record_queue_.pop_front();
         if (m != nullptr && m->record_due) add_machine(*m);
     }
+    while (!gone_records_.empty() && !full(1)) {
+        const auto id = gone_records_.front();
+        gone_records_.pop_front();
+        if (machines_.contains(id)) continue;
+        add({"m/" + id, std::nullopt, 0});
+        f.gone.push_back(id);
+    }
     // Progress gathers for a while: it costs a write a job, and losing it only an image fetch.
     while (!progress_.empty() && !full(1) && now_ - progress_.front()->progress_since > s_.report_s / 3) {
         auto* j = progress_.front();
@@ -737,14 +746,7 @@
         f.progress.emplace_back(j, std::move(j->unstored));
         j->unstored.clear();
     }
-    while (!gone_records_.empty() && !full(1)) {
-        const auto id = gone_records_.front();
-        gone_records_.pop_front();
-        if (machines_.contains(id)) continue;
-        add({"m/" + id, std::nullopt, 0});
-        f.gone.push_back(id);
-    }
-    if (write_tokens_ > s_.state_write_rps * 0.4)
+    if (write_tokens_ > s_.state_write_rps * 0.25)
         for (auto& [id, m] : machines_) {
             if (full(static_cast<std::size_t>(s_.txn_ops) / 2)) break;
             // A record that names tasks long gone would keep their places after a takeover.
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -143,6 +143,17 @@
     EXPECT_EQ(s.core.live_tasks("wk-000001"), 0U);
 }
 
+// From the incident in docs/incidents/2026-12-01-kotaferry-f4f7.md: the record of a machine long
+// gone made each new holder wait a whole lease for the tasks it named.
+TEST(Core, TheRecordOfALapsedMachineNamesNoTasks) {
+    OneTask s;
+    bool cleared = false;
+    for (const auto& c : all<Commit>(s.idle(s.settings.lease_s + 2)))
+        for (const auto& w : c.writes)
+            cleared = cleared || (w.key == "m/n-1" && w.value && (*w.value)["tasks"].empty());
+    EXPECT_TRUE(cleared);
+}
+
 TEST(Core, AHigherTermInAReportEndsTheOffice) {
     OneTask s;
     const auto effects = s.give(Beat{OneTask::report(2, std::uint64_t{8} << fence_bits), 2});
