--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -266,7 +266,6 @@
     void queue_rentals(std::map<std::string, Pending>& wanted);
     std::vector<Job*> waiting_jobs();
     double work_left(const Job& j) const;
-    bool hopelessly_late(const Job& j) const;
     std::string cheapest_source(const Job& j, std::map<std::string, int>& planned, Pending& out) const;
 
     const Settings& s_;
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -132,17 +132,16 @@
         }
     }
     // Among equals the job with the least work left goes first, since that brings the most jobs home
-    // in time; those that have missed every aim already wait for the others.
-    std::unordered_map<const Job*, std::pair<bool, double>> key;
-    for (const auto* j : out) key[j] = {hopelessly_late(*j), work_left(*j)};
+    // in time; having waited counts against it, so that large ones get their turn.
+    std::unordered_map<const Job*, double> key;
+    for (const auto* j : out) key[j] = work_left(*j) / (std::max(1.0, j->spec.estimate_s) + now_ - j->submitted);
     std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
         // What may take the place of others goes first, or it would stop them and lose the room.
         const auto urgent = [](const Job* j) { return std::min(j->spec.rank, Rank::normal); };
         if (urgent(a) != urgent(b)) return urgent(a) < urgent(b);
         if (a->guaranteed != b->guaranteed) return a->guaranteed;
-        const auto &ka = key[a], &kb = key[b];
-        if (ka.first != kb.first) return !ka.first;
-        if (ka.second != kb.second) return ka.second < kb.second;
+        const double ka = key[a], kb = key[b];
+        if (ka != kb) return ka < kb;
         if (a->submitted != b->submitted) return a->submitted < b->submitted;
         return a->spec.id < b->spec.id;
     });
@@ -154,17 +153,6 @@
     return j.spec.each.cpus * (j.spec.tasks - j.done) * std::max(1.0, j.spec.estimate_s);
 }
 
-// Too late for the last of the operators' aims for its class.
-bool Core::hopelessly_late(const Job& j) const {
-    double last = 0;
-    for (const auto& o : s_.objectives) {
-        if (o.job_class != j.spec.job_class) continue;
-        if (o.kind == "deadline" && j.spec.deadline_s >= 0) last = std::max(last, o.times * j.spec.deadline_s);
-        if (o.kind == "finished") last = std::max(last, o.within_s);
-    }
-    return last > 0 && now_ - j.submitted + j.spec.estimate_s / 2 > last;
-}
-
 void Core::place(Job& j, Machine& m) {
     while (!j.pending.empty()) {
         const auto i = j.pending.front();
