--- a/src/node.cpp
+++ b/src/node.cpp
@@ -37,8 +37,10 @@
       store_budget_(s_.state_rps / 4, s_.state_rps / 6),
       submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
       cloud_budget_(s_.cloud_rps * 0.8, std::max(1.0, s_.cloud_rps)),
-      // Long enough to outlast a short outage of the store together with the workers' leases.
-      ttl_s_(std::min(s_.lease_s / 2, 2.5 * s_.report_s)) {}
+      // Together with the workers' leases, which are up to 1.25 reports old, the hold outlasts an
+      // outage of the store of six reports; beyond that it is short, so that others take over soon.
+      ttl_s_(std::clamp(7.25 * s_.report_s - s_.lease_s, std::min(1.25 * s_.report_s, s_.lease_s / 2),
+                        s_.lease_s / 2)) {}
 
 Node::~Node() = default;
 
