Order by rank before the work left

Cause: arrays of normal and low rank were mixed by size, so deadlines were missed for work without one.

--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -140,6 +140,7 @@
         const auto urgent = [](const Job* j) { return std::min(j->spec.rank, Rank::normal); };
         if (urgent(a) != urgent(b)) return urgent(a) < urgent(b);
         if (a->guaranteed != b->guaranteed) return a->guaranteed;
+        if (a->spec.rank != b->spec.rank) return a->spec.rank < b->spec.rank;
         const double ka = key[a], kb = key[b];
         if (ka != kb) return ka < kb;
         if (a->submitted != b->submitted) return a->submitted < b->submitted;
