--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -137,10 +137,8 @@
     for (const auto* j : out) key[j] = work_left(*j) / (std::max(1.0, j->spec.estimate_s) + now_ - j->submitted);
     std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
         // What may take the place of others goes first, or it would stop them and lose the room.
-        const auto urgent = [](const Job* j) { return std::min(j->spec.rank, Rank::normal); };
-        if (urgent(a) != urgent(b)) return urgent(a) < urgent(b);
-        if (a->guaranteed != b->guaranteed) return a->guaranteed;
         if (a->spec.rank != b->spec.rank) return a->spec.rank < b->spec.rank;
+        if (a->guaranteed != b->guaranteed) return a->guaranteed;
         const double ka = key[a], kb = key[b];
         if (ka != kb) return ka < kb;
         if (a->submitted != b->submitted) return a->submitted < b->submitted;
