--- a/src/core.cpp
+++ b/src/core.cpp
@@ -71,6 +71,7 @@
             if (k >= j->tasks.size() || j->tasks[k].done) return;
             j->tasks[k].done = j->tasks[k].stored = true;
             ++j->done;
+            j->had_success = true; // else a faulty machine is told from a bad job too late
         });
         const auto f = i.value.value("final", std::string());
         if (!f.empty()) {
