--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -17,9 +17,7 @@
     log->set_pattern("%L %v");
     const char* level = std::getenv("LOG_LEVEL");
     const std::string name = level != nullptr ? level : "info";
-    log->set_level(name == "debug"   ? spdlog::level::debug
-                   : name == "error" ? spdlog::level::err
-                                     : spdlog::level::info);
+    log->set_level(name == "debug" ? spdlog::level::debug : name == "error" ? spdlog::level::err : spdlog::level::info);
     spdlog::set_default_logger(std::move(log));
 }
 
@@ -48,7 +46,8 @@
             // What is told to the store on the way out gets a moment.
             static uv_timer_t bye;
             uv_timer_init(sig->loop, &bye);
-            uv_timer_start(&bye, [](uv_timer_t* t) { uv_stop(t->loop); }, 200, 0);
+            uv_timer_start(
+                &bye, [](uv_timer_t* t) { uv_stop(t->loop); }, 200, 0);
         },
         SIGTERM);
     uv_run(loop, UV_RUN_DEFAULT);
--- a/include/heronshift/config.hpp
+++ b/include/heronshift/config.hpp
@@ -12,7 +12,9 @@
 struct Endpoint {
     std::string host;
     int port = 0;
-    [[nodiscard]] std::string str() const { return host + ":" + std::to_string(port); }
+    [[nodiscard]] std::string str() const {
+        return host + ":" + std::to_string(port);
+    }
 };
 
 struct Peer {
@@ -32,8 +34,8 @@
     int pull_back_cap = 5, reorder_cap = 3;   // tasks per round
     double round_s = 10;
     int batch = 8;
-    double headroom = 0.25;     // of what services use, on the pool beyond it
-    double empty_s = 0;         // 0: a ratio of the type's boot time
+    double headroom = 0.25; // of what services use, on the pool beyond it
+    double empty_s = 0;     // 0: a ratio of the type's boot time
 };
 
 struct Settings {
--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -93,7 +93,7 @@
 struct StepDown {
     std::string why;
 };
-struct Note { // one line for the log
+struct Note {      // one line for the log
     int level = 0; // 0 debug, 1 info, 2 warning
     std::string text;
 };
@@ -117,7 +117,9 @@
 
     std::vector<Effect> step(std::vector<Command>& commands, double now, double wall);
     // When step() wants to be called even if no command comes.
-    [[nodiscard]] double wake_at() const { return wake_at_; }
+    [[nodiscard]] double wake_at() const {
+        return wake_at_;
+    }
 
     // None: not known here, ask the store. An answer is never older than what was told before.
     [[nodiscard]] std::optional<JobView> view(const std::string& id) const;
@@ -125,7 +127,9 @@
 
     // For tests: what is believed to be on machines.
     [[nodiscard]] std::size_t live_tasks(const std::string& job) const;
-    [[nodiscard]] std::size_t machine_count() const { return machines_.size(); }
+    [[nodiscard]] std::size_t machine_count() const {
+        return machines_.size();
+    }
 
 private:
     enum class Phase : std::uint8_t { intent, storing, stored, sent, fetching, waiting, running, saving };
@@ -142,9 +146,9 @@
         std::uint32_t index = 0;
         std::uint64_t try_no = 0, tenure = 0, fence = 0;
         Phase phase = Phase::intent;
-        bool seen = false;     // in a report of this machine
-        bool stop = false;     // must end
-        bool moving = false;   // stopped to be started elsewhere
+        bool seen = false;   // in a report of this machine
+        bool stop = false;   // must end
+        bool moving = false; // stopped to be started elsewhere
         double drain_s = 0, stop_at = -1, placed_at = 0, running_at = -1;
     };
     struct Job {
@@ -156,7 +160,7 @@
         std::uint32_t done = 0, live = 0, running = 0;
         Final final = Final::none;
         bool final_stored = false, final_queued = false, cancel_asked = false, guaranteed = false;
-        std::vector<std::uint32_t> unstored; // done, not yet in the store
+        std::vector<std::uint32_t> unstored;              // done, not yet in the store
         bool progress_queued = false, has_record = false; // d/ key in the store
         double progress_since = 0;
         std::vector<std::uint32_t> zone_live;
@@ -242,7 +246,9 @@
     std::vector<Order> standing_orders(Machine& m);
     codec::Write machine_record(const Machine& m) const;
     codec::Write job_record(Job& j) const;
-    void note(int level, std::string text) { effects_.push_back(Note{level, std::move(text)}); }
+    void note(int level, std::string text) {
+        effects_.push_back(Note{level, std::move(text)});
+    }
 
     // planning.cpp
     void schedule();
--- a/include/heronshift/http.hpp
+++ b/include/heronshift/http.hpp
@@ -49,7 +49,9 @@
     // Returns 0 or a libuv error.
     int listen(const Endpoint& at);
     void sweep(); // closes slow and idle connections; call about once a second
-    [[nodiscard]] std::size_t connections() const { return conns_.size(); }
+    [[nodiscard]] std::size_t connections() const {
+        return conns_.size();
+    }
 
 private:
     friend class ServerConnection;
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -14,7 +14,9 @@
 public:
     RateBudget(double per_s, double burst) : rate_(per_s), burst_(burst), left_(burst) {}
     bool take(double now, double n = 1);
-    void set_rate(double per_s, double burst) { rate_ = per_s, burst_ = burst; }
+    void set_rate(double per_s, double burst) {
+        rate_ = per_s, burst_ = burst;
+    }
 
 private:
     double rate_, burst_, left_, at_ = 0;
@@ -46,7 +48,9 @@
     void take_office();
     void renew();
     void step_down(const std::string& why);
-    [[nodiscard]] bool valid() const { return office_ == Office::held && now() < valid_until_; }
+    [[nodiscard]] bool valid() const {
+        return office_ == Office::held && now() < valid_until_;
+    }
     void follow_jobs();
     void commit(Commit c, int tries);
     void resolve_commit(Commit c, int tries);
@@ -78,7 +82,9 @@
     void cloud_request(const char* method, std::string path, std::string body, HttpClient::Callback done);
     void list_machines(const std::string& since);
 
-    void push(Command c) { queue_.push_back(std::move(c)); }
+    void push(Command c) {
+        queue_.push_back(std::move(c));
+    }
     void run_core();
     void perform(Effect& e);
     void arm();
--- a/include/heronshift/placement.hpp
+++ b/include/heronshift/placement.hpp
@@ -10,7 +10,9 @@
 // What a job is worth at a gap x between its share of tasks on the pool and its target.
 struct Payoff {
     double alpha = 1, beta = 0.1, gamma = 10;
-    [[nodiscard]] double operator()(double x) const { return x < 0 ? alpha * x : beta * x + gamma; }
+    [[nodiscard]] double operator()(double x) const {
+        return x < 0 ? alpha * x : beta * x + gamma;
+    }
 };
 
 // Gain of moving one more of `tasks` tasks to the pool, of which `on_pool` are there.
--- a/include/heronshift/types.hpp
+++ b/include/heronshift/types.hpp
@@ -22,16 +22,19 @@
         cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
         return *this;
     }
-    friend Resources operator+(Resources a, const Resources& b) { return a += b; }
-    friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+    friend Resources operator+(Resources a, const Resources& b) {
+        return a += b;
+    }
+    friend Resources operator-(Resources a, const Resources& b) {
+        return a -= b;
+    }
     friend Resources operator*(Resources a, double k) {
         return {a.cpus * k, a.gpus * k, a.memory_gb * k};
     }
     // Amounts are decimal numbers, so sums carry a little dust.
     [[nodiscard]] bool fits(const Resources& room) const {
         constexpr double dust = 1e-6;
-        return cpus <= room.cpus + dust && gpus <= room.gpus + dust &&
-               memory_gb <= room.memory_gb + dust;
+        return cpus <= room.cpus + dust && gpus <= room.gpus + dust && memory_gb <= room.memory_gb + dust;
     }
 };
 
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -64,8 +64,10 @@
         }
         if (!f->is_number()) return complain(name, "must be a number"), fallback;
         const double v = f->get<double>();
-        if (!std::isfinite(v) || v < 0 || v > 1e12) complain(name, "is out of range");
-        else if (positive && v <= 0) complain(name, "must be above 0");
+        if (!std::isfinite(v) || v < 0 || v > 1e12)
+            complain(name, "is out of range");
+        else if (positive && v <= 0)
+            complain(name, "must be above 0");
         return v;
     }
     bool flag(const char* name) {
@@ -123,25 +125,34 @@
     if (r.error.empty() && !valid_job_id(s.id)) r.complain("id", "must have the form wk-000412");
     s.job_class = r.text("jobclass", true);
     s.team = r.text("owner", true);
-    if (const auto shape = shape_of(r.text("shape", true)); shape) s.shape = *shape;
-    else r.complain("shape", "must be array, gang or daemon");
-    if (const auto rank = rank_of(r.text("rank", true)); rank) s.rank = *rank;
-    else r.complain("rank", "must be critical, high, normal or low");
-    if (std::uint64_t n = 0; field(j, "shards") == nullptr) r.complain("shards", "is missing");
+    if (const auto shape = shape_of(r.text("shape", true)); shape)
+        s.shape = *shape;
+    else
+        r.complain("shape", "must be array, gang or daemon");
+    if (const auto rank = rank_of(r.text("rank", true)); rank)
+        s.rank = *rank;
+    else
+        r.complain("rank", "must be critical, high, normal or low");
+    if (std::uint64_t n = 0; field(j, "shards") == nullptr)
+        r.complain("shards", "is missing");
     else if (!count(j, "shards", n) || n < 1 || n > most_tasks)
         r.complain("shards", "must be a whole number from 1 to 100000");
-    else s.tasks = static_cast<std::uint32_t>(n);
+    else
+        s.tasks = static_cast<std::uint32_t>(n);
     s.each.cpus = r.number("cpus", true, 0, true);
     s.each.gpus = r.number("accelerators", false, 0);
     s.each.memory_gb = r.number("memGb", true, 0, true);
     s.image = r.text("bundle", true);
     s.image_gb = r.number("imageGb", true, 0);
     if (const auto* f = field(j, "flavors"); f != nullptr) {
-        if (!f->is_array()) r.complain("flavors", "must be an array of strings");
+        if (!f->is_array())
+            r.complain("flavors", "must be an array of strings");
         else
             for (const auto& e : *f) {
-                if (!e.is_string()) r.complain("flavors", "must be an array of strings");
-                else s.types.push_back(e.get<std::string>());
+                if (!e.is_string())
+                    r.complain("flavors", "must be an array of strings");
+                else
+                    s.types.push_back(e.get<std::string>());
             }
         if (f->is_array() && f->empty()) r.complain("flavors", "must not be empty");
     }
@@ -178,9 +189,15 @@
 }
 
 Json to_json(const JobSpec& s) {
-    Json j{{"id", s.id},           {"jobclass", s.job_class}, {"owner", s.team},
-           {"shape", name_of(s.shape)}, {"rank", name_of(s.rank)}, {"shards", s.tasks},
-           {"cpus", s.each.cpus},  {"memGb", s.each.memory_gb}, {"bundle", s.image},
+    Json j{{"id", s.id},
+           {"jobclass", s.job_class},
+           {"owner", s.team},
+           {"shape", name_of(s.shape)},
+           {"rank", name_of(s.rank)},
+           {"shards", s.tasks},
+           {"cpus", s.each.cpus},
+           {"memGb", s.each.memory_gb},
+           {"bundle", s.image},
            {"imageGb", s.image_gb}};
     if (s.each.gpus > 0) j["accelerators"] = s.each.gpus;
     if (!s.types.empty()) j["flavors"] = s.types;
@@ -233,8 +250,7 @@
     r.type = text(j, "flavor");
     r.zone = text(j, "yard");
     r.spot = flag(j, "standby");
-    if (r.machine.empty() || r.machine.size() > 100 || !count(j, "tenure", r.tenure) ||
-        !count(j, "counter", r.counter))
+    if (r.machine.empty() || r.machine.size() > 100 || !count(j, "tenure", r.tenure) || !count(j, "counter", r.counter))
         return {};
     count(j, "fence", r.fence);
     r.notice_s = number(j, "evictionInS", -1);
@@ -358,7 +374,7 @@
     p.more = flag(j, "more");
     for (const auto& e : *list) {
         if (!e.is_object()) return {};
-        ListedMachine m{text(e, "id"),     text(e, "addr"),     text(e, "flavor"), text(e, "yard"),
+        ListedMachine m{text(e, "id"),     text(e, "addr"),    text(e, "flavor"), text(e, "yard"),
                         text(e, "status"), flag(e, "standby"), number(e, "ageS")};
         if (m.id.empty()) return {};
         p.machines.push_back(std::move(m));
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -29,8 +29,7 @@
         return *v;
     }
 
-    double number(const toml::table& t, const std::string& at, const char* key, double least,
-                  bool open = false) const {
+    double number(const toml::table& t, const std::string& at, const char* key, double least, bool open = false) const {
         const auto* n = t.get(key);
         if (n == nullptr) fail(at + key, "is missing");
         if (!n->is_number()) fail(at + key, "must be a number");
@@ -187,8 +186,7 @@
     try {
         t = toml::parse_file(path);
     } catch (const toml::parse_error& e) {
-        throw SettingsError(
-            fmt::format("{}:{}: {}", path, e.source().begin.line, std::string(e.description())));
+        throw SettingsError(fmt::format("{}:{}: {}", path, e.source().begin.line, std::string(e.description())));
     }
     const Reader r(path);
     Settings s;
@@ -276,9 +274,12 @@
     line("facts.state.write_rps", s.state_write_rps);
     line("facts.cloud.rps", s.cloud_rps);
     for (const auto& f : operator_fields) {
-        if (f.number != nullptr) line(f.name, s.ops.*f.number);
-        else if (f.count != nullptr) line(f.name, s.ops.*f.count);
-        else line(f.name, s.ops.*f.flag ? "yes" : "no");
+        if (f.number != nullptr)
+            line(f.name, s.ops.*f.number);
+        else if (f.count != nullptr)
+            line(f.name, s.ops.*f.count);
+        else
+            line(f.name, s.ops.*f.flag ? "yes" : "no");
     }
     return out;
 }
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -176,8 +176,7 @@
     now_ = now;
     wall_ = wall;
     effects_.clear();
-    for (auto& c : commands)
-        std::visit([this](auto& x) { handle(x); }, c);
+    for (auto& c : commands) std::visit([this](auto& x) { handle(x); }, c);
     commands.clear();
     if (now_ >= next_tick_) {
         next_tick_ = now_ + s_.report_s / 10;
@@ -229,8 +228,10 @@
     auto& t = j.tasks[index];
     if (t.queued || t.done || t.live > 0) return;
     t.queued = true;
-    if (front) j.pending.push_front(index);
-    else j.pending.push_back(index);
+    if (front)
+        j.pending.push_front(index);
+    else
+        j.pending.push_back(index);
 }
 
 void Core::handle(CancelAsked& c) {
@@ -253,8 +254,10 @@
     j.final = f;
     if (!j.final_queued) {
         j.final_queued = true;
-        if (f == Final::cancelled) finals_.push_front(&j);
-        else finals_.push_back(&j);
+        if (f == Final::cancelled)
+            finals_.push_front(&j);
+        else
+            finals_.push_back(&j);
     }
     // Nobody has any use for what runs after a cancellation was asked for; the answer still
     // waits for the store.
@@ -625,8 +628,7 @@
     for (auto& [id, mp] : machines_) {
         auto& m = *mp;
         if (m.status == Status::up && now_ > m.last_seen + lease) {
-            if (!m.entries.empty())
-                note(2, fmt::format("lease of {} has lapsed, {} tasks lost", id, m.entries.size()));
+            if (!m.entries.empty()) note(2, fmt::format("lease of {} has lapsed, {} tasks lost", id, m.entries.size()));
             for (std::size_t i = m.entries.size(); i-- > 0;) {
                 auto& e = m.entries[i];
                 if (e.phase < Phase::sent) continue;
@@ -652,8 +654,7 @@
 
 codec::Write Core::machine_record(const Machine& m) const {
     auto tasks = codec::Json::array();
-    for (const auto& e : m.entries)
-        tasks.push_back(fmt::format("{}/{}:{}", e.job->spec.id, e.index, e.try_no));
+    for (const auto& e : m.entries) tasks.push_back(fmt::format("{}/{}:{}", e.job->spec.id, e.index, e.try_no));
     auto images = codec::Json::array();
     for (const auto& [image, used] : m.images)
         if (images.size() < 40) images.push_back(image);
@@ -772,8 +773,8 @@
     if (ok) ++committed_;
     auto answer = [&](Job& j) {
         for (const auto h : j.cancels)
-            effects_.push_back(CancelAnswer{
-                h, std::string(j.final == Final::done ? codec::status_done : codec::status_cancelled)});
+            effects_.push_back(
+                CancelAnswer{h, std::string(j.final == Final::done ? codec::status_done : codec::status_cancelled)});
         j.cancels.clear();
     };
     auto again = [&](Job& j) {
@@ -813,8 +814,10 @@
     for (const auto& id : f.machines) {
         auto* m = find_machine(id);
         if (m == nullptr) continue;
-        if (ok) m->recorded = true;
-        else request_record(*m, true);
+        if (ok)
+            m->recorded = true;
+        else
+            request_record(*m, true);
         for (auto& e : m->entries)
             if (e.phase == Phase::storing) e.phase = ok ? Phase::stored : Phase::intent;
         m->wants_orders = true;
@@ -826,8 +829,10 @@
 void Core::request_record(Machine& m, bool urgent) {
     if (m.record_due && !urgent) return;
     m.record_due = true;
-    if (urgent) record_queue_.push_front(m.id);
-    else record_queue_.push_back(m.id);
+    if (urgent)
+        record_queue_.push_front(m.id);
+    else
+        record_queue_.push_back(m.id);
 }
 
 // The store keeps the final state; memory only holds what is alive.
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -73,7 +73,9 @@
         last_ = steady_now(s->loop_);
     }
 
-    uv_tcp_t* tcp() { return tcp_; }
+    uv_tcp_t* tcp() {
+        return tcp_;
+    }
 
     void start() {
         uv_tcp_nodelay(tcp_, 1);
@@ -92,7 +94,9 @@
         if (server_ != nullptr) server_->conns_.erase(self);
     }
 
-    void orphan() { server_ = nullptr; }
+    void orphan() {
+        server_ = nullptr;
+    }
 
     void respond(int status, std::string_view body, int retry_after_s) {
         if (tcp_ == nullptr || !busy_) return;
@@ -343,7 +347,8 @@
         }
         const auto colon = addr.rfind(':');
         sockaddr_in to{};
-        if (colon == std::string::npos || !sockaddr_of(addr.substr(0, colon), std::atoi(addr.c_str() + colon + 1), to)) {
+        if (colon == std::string::npos ||
+            !sockaddr_of(addr.substr(0, colon), std::atoi(addr.c_str() + colon + 1), to)) {
             job.done({});
             continue;
         }
@@ -358,18 +363,19 @@
         c->tcp->data = c;
         pool.conns.push_back(c);
         auto* req = new uv_connect_t;
-        const int e = uv_tcp_connect(req, c->tcp, reinterpret_cast<const sockaddr*>(&to), [](uv_connect_t* r, int status) {
-            auto* conn = static_cast<Connection*>(r->handle->data);
-            delete r;
-            if (conn == nullptr) return;
-            if (status != 0) return conn->client->finish(conn, {}, false);
-            conn->connected = true;
-            uv_read_start(reinterpret_cast<uv_stream_t*>(conn->tcp), give_buffer,
-                          [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
-                              if (auto* k = static_cast<Connection*>(s->data); k != nullptr) k->on_read(n, buf);
-                          });
-            conn->send();
-        });
+        const int e =
+            uv_tcp_connect(req, c->tcp, reinterpret_cast<const sockaddr*>(&to), [](uv_connect_t* r, int status) {
+                auto* conn = static_cast<Connection*>(r->handle->data);
+                delete r;
+                if (conn == nullptr) return;
+                if (status != 0) return conn->client->finish(conn, {}, false);
+                conn->connected = true;
+                uv_read_start(reinterpret_cast<uv_stream_t*>(conn->tcp), give_buffer,
+                              [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
+                                  if (auto* k = static_cast<Connection*>(s->data); k != nullptr) k->on_read(n, buf);
+                              });
+                conn->send();
+            });
         if (e != 0) {
             delete req;
             finish(c, {}, false);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -34,13 +34,12 @@
     : s_(std::move(settings)), loop_(loop), store_(loop, 8, 200), follow_(loop, 2, 4), cloud_(loop, 2, 16),
       agents_(loop, 1, 4), peer_client_(loop, 8, 64),
       // What a user's read may take when this node is alone with the store.
-      store_budget_(s_.state_rps / 4, s_.state_rps / 6),
-      submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
+      store_budget_(s_.state_rps / 4, s_.state_rps / 6), submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
       cloud_budget_(s_.cloud_rps * 0.8, std::max(1.0, s_.cloud_rps)),
       // Together with the workers' leases, which are up to 1.25 reports old, the hold outlasts an
       // outage of the store of six reports; beyond that it is short, so that others take over soon.
-      ttl_s_(std::clamp(7.25 * s_.report_s - s_.lease_s, std::min(1.25 * s_.report_s, s_.lease_s / 2),
-                        s_.lease_s / 2)) {}
+      ttl_s_(
+          std::clamp(7.25 * s_.report_s - s_.lease_s, std::min(1.25 * s_.report_s, s_.lease_s / 2), s_.lease_s / 2)) {}
 
 Node::~Node() = default;
 
@@ -56,10 +55,12 @@
 int Node::start() {
     // Sockets: a part stays free for workers, peers, the store and the cloud.
     const auto fds = static_cast<std::size_t>(s_.fd_limit);
-    users_ = std::make_unique<HttpServer>(loop_, fds * 7 / 10, 2 * s_.lease_s + 30,
-                                          [this](HttpRequest&& r, Responder res) { on_user(std::move(r), std::move(res)); });
-    peers_ = std::make_unique<HttpServer>(loop_, fds / 10, 2 * s_.lease_s + 30,
-                                          [this](HttpRequest&& r, Responder res) { on_peer(std::move(r), std::move(res)); });
+    users_ =
+        std::make_unique<HttpServer>(loop_, fds * 7 / 10, 2 * s_.lease_s + 30,
+                                     [this](HttpRequest&& r, Responder res) { on_user(std::move(r), std::move(res)); });
+    peers_ = std::make_unique<HttpServer>(loop_, fds / 10, 2 * s_.lease_s + 30, [this](HttpRequest&& r, Responder res) {
+        on_peer(std::move(r), std::move(res));
+    });
     if (const int e = users_->listen(s_.listen); e != 0) return e;
     if (const int e = peers_->listen(s_.peer_listen); e != 0) return e;
     uv_timer_init(loop_, &tick_);
@@ -67,7 +68,8 @@
     uv_check_init(loop_, &check_);
     tick_.data = wake_.data = check_.data = this;
     const auto period = static_cast<std::uint64_t>(s_.report_s * 1000 / 30);
-    uv_timer_start(&tick_, [](uv_timer_t* t) { static_cast<Node*>(t->data)->tick(); }, 1, period);
+    uv_timer_start(
+        &tick_, [](uv_timer_t* t) { static_cast<Node*>(t->data)->tick(); }, 1, period);
     // Commands gather while the loop handles what has arrived, then the core takes them at once.
     uv_check_start(&check_, [](uv_check_t* c) { static_cast<Node*>(c->data)->run_core(); });
     watch_office();
@@ -181,8 +183,10 @@
         const auto it = beats_.find(reply->handle);
         if (it == beats_.end()) return;
         // A 200 renews a lease, so it is sent only while nobody else can hold the office.
-        if (reply->status == 200 && valid()) it->second.res.send(200, codec::orders(reply->fence, reply->orders));
-        else it->second.res.send(503, "{}");
+        if (reply->status == 200 && valid())
+            it->second.res.send(200, codec::orders(reply->fence, reply->orders));
+        else
+            it->second.res.send(503, "{}");
         beats_.erase(it);
     } else if (auto* answer = std::get_if<CancelAnswer>(&effect)) {
         const auto it = cancels_.find(answer->handle);
@@ -218,7 +222,8 @@
                               }
                           } else if (r.status == 503 && r.body.find("no capacity") != std::string::npos) {
                               c.outcome = RentOutcome::no_capacity;
-                          } else if (r.status == 503 || r.status == 429 || r.status == 400 || (r.status == 0 && !r.sent)) {
+                          } else if (r.status == 503 || r.status == 429 || r.status == 400 ||
+                                     (r.status == 0 && !r.sent)) {
                               c.outcome = RentOutcome::failed;
                           }
                           const double delay = c.outcome == RentOutcome::rented ? 0 : s_.report_s / 6;
@@ -238,7 +243,9 @@
     } else if (auto* end = std::get_if<StepDown>(&effect)) {
         step_down(end->why);
     } else if (auto* line = std::get_if<Note>(&effect)) {
-        spdlog::log(line->level == 0 ? spdlog::level::debug : line->level == 1 ? spdlog::level::info : spdlog::level::warn,
+        spdlog::log(line->level == 0   ? spdlog::level::debug
+                    : line->level == 1 ? spdlog::level::info
+                                       : spdlog::level::warn,
                     "{}", line->text);
     }
 }
@@ -308,7 +315,8 @@
         }
         if (first)
             store_request("POST", std::string(codec::path_txn),
-                          codec::txn({{"types", 0}}, {{"types", codec::types_to_json(types_), 0}}), 1, [](HttpReply&&) {});
+                          codec::txn({{"types", 0}}, {{"types", codec::types_to_json(types_), 0}}), 1,
+                          [](HttpReply&&) {});
     };
     auto from_cloud = [this, learned] {
         cloud_.request(s_.cloud.str(), "GET", std::string(codec::path_types), "", s_.report_s * 2, learned);
@@ -350,8 +358,9 @@
     }
     if (path == "/metrics") {
         if (!get) return wrong_method();
-        return res.send(200, (core_ ? core_->metrics() : "") +
-                                 fmt::format("heronshift_requests_total {}\nheronshift_refused_total {}\n", requests_, refused_));
+        return res.send(
+            200, (core_ ? core_->metrics() : "") +
+                     fmt::format("heronshift_requests_total {}\nheronshift_refused_total {}\n", requests_, refused_));
     }
     if (path == codec::path_jobs) return post ? submit(std::move(r), std::move(res), forwarded) : wrong_method();
     if (!path.starts_with(codec::path_jobs) || path.size() <= codec::path_jobs.size() + 1 ||
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -77,37 +77,38 @@
         });
     };
     hold_sent_ = now();
-    store_request("POST", std::string(codec::path_holds), codec::hold_request(ttl_s_), 1, [this, gen, fail](HttpReply&& r) {
-        if (gen != generation_) return;
-        const auto hold = r.status == 200 ? codec::hold_of(r.body) : std::nullopt;
-        if (!hold) return fail();
-        hold_ = *hold;
-        store_request("GET", read_path(round_key), "", 1, [this, gen, fail](HttpReply&& q) {
+    store_request(
+        "POST", std::string(codec::path_holds), codec::hold_request(ttl_s_), 1, [this, gen, fail](HttpReply&& r) {
             if (gen != generation_) return;
-            std::uint64_t term = 0, stamp = 0;
-            if (q.status == 200) {
-                const auto item = codec::item(q.body);
-                if (!item || !item->value.is_object()) return fail();
-                term = item->value.value("term", std::uint64_t{0});
-                stamp = item->stamp;
-            } else if (q.status != 404) {
-                return fail();
-            }
-            term_ = term + 1;
-            const auto body = codec::txn(
-                {{office_key, 0}, {round_key, stamp}},
-                {{office_key, Json{{"node", s_.name}, {"hold", hold_}, {"term", term_}}, hold_},
-                 {round_key, Json{{"term", term_}, {"n", 0}}, 0}});
-            store_request("POST", std::string(codec::path_txn), body, 1, [this, gen, fail](HttpReply&& t) {
+            const auto hold = r.status == 200 ? codec::hold_of(r.body) : std::nullopt;
+            if (!hold) return fail();
+            hold_ = *hold;
+            store_request("GET", read_path(round_key), "", 1, [this, gen, fail](HttpReply&& q) {
                 if (gen != generation_) return;
-                const auto epoch = t.status == 200 ? codec::epoch_of(t.body) : std::nullopt;
-                if (!epoch) return fail();
-                office_stamp_ = round_stamp_ = *epoch;
-                round_seq_ = 0;
-                take_office();
+                std::uint64_t term = 0, stamp = 0;
+                if (q.status == 200) {
+                    const auto item = codec::item(q.body);
+                    if (!item || !item->value.is_object()) return fail();
+                    term = item->value.value("term", std::uint64_t{0});
+                    stamp = item->stamp;
+                } else if (q.status != 404) {
+                    return fail();
+                }
+                term_ = term + 1;
+                const auto body =
+                    codec::txn({{office_key, 0}, {round_key, stamp}},
+                               {{office_key, Json{{"node", s_.name}, {"hold", hold_}, {"term", term_}}, hold_},
+                                {round_key, Json{{"term", term_}, {"n", 0}}, 0}});
+                store_request("POST", std::string(codec::path_txn), body, 1, [this, gen, fail](HttpReply&& t) {
+                    if (gen != generation_) return;
+                    const auto epoch = t.status == 200 ? codec::epoch_of(t.body) : std::nullopt;
+                    if (!epoch) return fail();
+                    office_stamp_ = round_stamp_ = *epoch;
+                    round_seq_ = 0;
+                    take_office();
+                });
             });
         });
-    });
 }
 
 // Reads everything below a prefix, page by page.
@@ -169,16 +170,17 @@
     store_request("POST", fmt::format("{}/{}/{}", codec::path_holds, hold_, codec::suffix_extend), "{}", ttl_s_ / 5,
                   [this, gen, sent](HttpReply&& r) {
                       if (gen != generation_) return;
-                      if (r.status == 200) valid_until_ = std::max(valid_until_, sent + ttl_s_ * 0.998 - 0.1);
-                      else if (r.status == 404) step_down("the hold has ended");
+                      if (r.status == 200)
+                          valid_until_ = std::max(valid_until_, sent + ttl_s_ * 0.998 - 0.1);
+                      else if (r.status == 404)
+                          step_down("the hold has ended");
                   });
 }
 
 void Node::step_down(const std::string& why) {
     if (office_ == Office::standby) return;
     spdlog::warn("term {} ends here: {}", term_, why);
-    if (hold_ != 0)
-        store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold_), "", 1, [](HttpReply&&) {});
+    if (hold_ != 0) store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold_), "", 1, [](HttpReply&&) {});
     ++generation_;
     office_ = Office::standby;
     valid_until_ = 0;
@@ -254,7 +256,8 @@
                       }
                       if ((r.status == 429 || r.status == 503 || r.status == 400) && tries == 0) {
                           // Surely not executed.
-                          if (r.status == 400) spdlog::error("the state service calls a transaction malformed: {}", r.body);
+                          if (r.status == 400)
+                              spdlog::error("the state service calls a transaction malformed: {}", r.body);
                           after(s_.report_s / 20, [this, gen] {
                               if (gen != generation_) return;
                               push(Committed{TxnOutcome::refused});
@@ -269,25 +272,27 @@
 // The outcome is open, or a guard failed: the round says whether the transaction was applied.
 void Node::resolve_commit(Commit c, int tries) {
     const auto gen = generation_;
-    store_request("GET", read_path(round_key), "", s_.report_s / 3, [this, gen, c = std::move(c), tries](HttpReply&& r) mutable {
-        if (gen != generation_ || !core_) return;
-        const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt;
-        if (!item || !item->value.is_object()) {
-            after(s_.report_s / 10, [this, gen, c = std::move(c), tries]() mutable {
-                if (gen == generation_) resolve_commit(std::move(c), tries);
-            });
-            return;
-        }
-        if (item->value.value("term", std::uint64_t{0}) != term_) return step_down("another term has begun");
-        if (item->value.value("n", std::uint64_t{0}) == round_seq_ + 1) {
-            round_stamp_ = item->stamp;
-            ++round_seq_;
-            push(Committed{TxnOutcome::applied});
-            return arm();
-        }
-        if (tries > 3 && office_ == Office::held && !valid()) return step_down("no office and no answer");
-        commit(std::move(c), tries);
-    });
+    store_request("GET", read_path(round_key), "", s_.report_s / 3,
+                  [this, gen, c = std::move(c), tries](HttpReply&& r) mutable {
+                      if (gen != generation_ || !core_) return;
+                      const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt;
+                      if (!item || !item->value.is_object()) {
+                          after(s_.report_s / 10, [this, gen, c = std::move(c), tries]() mutable {
+                              if (gen == generation_) resolve_commit(std::move(c), tries);
+                          });
+                          return;
+                      }
+                      if (item->value.value("term", std::uint64_t{0}) != term_)
+                          return step_down("another term has begun");
+                      if (item->value.value("n", std::uint64_t{0}) == round_seq_ + 1) {
+                          round_stamp_ = item->stamp;
+                          ++round_seq_;
+                          push(Committed{TxnOutcome::applied});
+                          return arm();
+                      }
+                      if (tries > 3 && office_ == Office::held && !valid()) return step_down("no office and no answer");
+                      commit(std::move(c), tries);
+                  });
 }
 
 } // namespace heronshift
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -72,8 +72,7 @@
             if (best[static_cast<std::size_t>(s)] == never) continue;
             for (const auto& c : choices) {
                 bool room = true;
-                for (std::size_t g = 0; g < groups.size() && room; ++g)
-                    room = digit(s, g) + c.n[g] <= groups[g].count;
+                for (std::size_t g = 0; g < groups.size() && room; ++g) room = digit(s, g) + c.n[g] <= groups[g].count;
                 if (!room) continue;
                 const auto to = static_cast<std::size_t>(s + c.code);
                 if (best[static_cast<std::size_t>(s)] + c.value > next[to]) {
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -60,8 +60,7 @@
 bool Core::usable(const Machine& m, const Job& j) const {
     if (m.status != Status::up || m.draining || m.bad || m.releasing || m.type < 0 || m.zone < 0) return false;
     if (now_ < m.avoid_until || now_ > m.last_seen + 1.5 * s_.report_s) return false;
-    if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until &&
-        j.spec.rank >= m.reserved_rank)
+    if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until && j.spec.rank >= m.reserved_rank)
         return false;
     const auto& spec = j.spec;
     // On the pool, room for the next replica stays free: making it would cost that replica's aim.
@@ -209,9 +208,10 @@
                 cost = placement_cost(*m, *jobs[g]);
                 if (is_pool(*m) && jobs[g]->spec.shape == Shape::service) {
                     const placement::Payoff f{s_.ops.alpha, s_.ops.beta, s_.ops.gamma};
-                    cost = std::max(0.0, cost + 1 - placement::pool_gain(f, jobs[g]->on_pool, jobs[g]->spec.tasks,
-                                                                         s_.ops.target_share) /
-                                                        s_.ops.gamma);
+                    cost = std::max(
+                        0.0, cost + 1 -
+                                 placement::pool_gain(f, jobs[g]->on_pool, jobs[g]->spec.tasks, s_.ops.target_share) /
+                                     s_.ops.gamma);
                 }
             }
             groups[g].cost.push_back(cost);
@@ -265,7 +265,7 @@
         for (auto& [id, m] : machines_)
             if ((!j.spec.one_zone || m->zone == z) && usable(*m, j) && j.spec.each.fits(m->whole - m->used))
                 order.emplace_back(placement_cost(*m, j) + placement::fragmentation(m->whole - m->used - j.spec.each,
-                                                                                   m->whole, common_shape_),
+                                                                                    m->whole, common_shape_),
                                    m.get());
         std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
         std::vector<Machine*> chosen;
@@ -366,9 +366,10 @@
         auto& j = *jobs[k];
         const bool plain = j.spec.types.empty() && j.spec.zone.empty() && !j.spec.spread && !j.spec.one_zone;
         // If a smaller task found no place, a larger one won't.
-        const bool hopeless = std::any_of(failed.begin(), failed.end(), [&](const Failed& f) {
-            return f.each.fits(j.spec.each) && (f.spot || !j.spec.spot);
-        }) && j.spec.rank > Rank::high; // room may have been made for those
+        const bool hopeless =
+            std::any_of(failed.begin(), failed.end(),
+                        [&](const Failed& f) { return f.each.fits(j.spec.each) && (f.spot || !j.spec.spot); }) &&
+            j.spec.rank > Rank::high; // room may have been made for those
         if (!hopeless) {
             if (j.spec.shape == Shape::gang) {
                 if (place_gang(j)) budget -= static_cast<int>(j.spec.tasks);
@@ -562,8 +563,7 @@
     const placement::Payoff f{s_.ops.alpha, s_.ops.beta, s_.ops.gamma};
     auto movable = [&](const Entry& e) {
         return !e.stop && e.phase == Phase::running && e.job->final == Final::none &&
-               (e.job->spec.shape == Shape::service ||
-                (e.job->spec.shape == Shape::array && now_ - e.placed_at < 60));
+               (e.job->spec.shape == Shape::service || (e.job->spec.shape == Shape::array && now_ - e.placed_at < 60));
     };
     struct Candidate {
         double score;
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -32,11 +32,11 @@
 
 TEST(Submission, NamesTheFieldThatIsWrong) {
     const std::pair<const char*, codec::Json> cases[] = {
-        {"id", "job-1"},    {"id", "wk-12x"},   {"id", 7},          {"shards", 0},        {"shards", 100001},
-        {"shards", 1.5},    {"shards", -3},     {"cpus", 0},        {"cpus", -1},         {"cpus", "8"},
-        {"shape", "ring"},  {"rank", "urgent"}, {"memGb", nullptr}, {"expectedS", -1},    {"snapshotS", -0.5},
-        {"dueS", "soon"},   {"flavors", "g8"},  {"flavors", {1}},   {"together", "yes"},  {"bundle", nullptr},
-        {"owner", ""},      {"imageGb", -2},    {"yard", 4},        {"accelerators", -1}, {"jobclass", nullptr}};
+        {"id", "job-1"},   {"id", "wk-12x"},   {"id", 7},          {"shards", 0},        {"shards", 100001},
+        {"shards", 1.5},   {"shards", -3},     {"cpus", 0},        {"cpus", -1},         {"cpus", "8"},
+        {"shape", "ring"}, {"rank", "urgent"}, {"memGb", nullptr}, {"expectedS", -1},    {"snapshotS", -0.5},
+        {"dueS", "soon"},  {"flavors", "g8"},  {"flavors", {1}},   {"together", "yes"},  {"bundle", nullptr},
+        {"owner", ""},     {"imageGb", -2},    {"yard", 4},        {"accelerators", -1}, {"jobclass", nullptr}};
     for (const auto& [field, value] : cases) {
         auto j = good_job();
         j[field] = value;
@@ -68,7 +68,8 @@
     EXPECT_EQ(r->tasks[1].cause, ExitCause::done);
     for (std::size_t n = 0; n + 1 < good.size(); ++n) EXPECT_FALSE(codec::report(good.substr(0, n))) << n;
     EXPECT_FALSE(codec::report(R"({"host":"n-1","tenure":"1","counter":2})"));
-    EXPECT_FALSE(codec::report(R"({"host":"n-1","tenure":1,"counter":2,"shards":[{"shard":"x","try":1,"status":"running"}]})"));
+    EXPECT_FALSE(
+        codec::report(R"({"host":"n-1","tenure":1,"counter":2,"shards":[{"shard":"x","try":1,"status":"running"}]})"));
     EXPECT_FALSE(codec::report(R"({"host":"n-1","tenure":1,"counter":2,"shards":{}})"));
 }
 
@@ -81,7 +82,8 @@
     EXPECT_FALSE(codec::page(R"({"entries":[{"k":"a"}],"epoch":3})"));
     EXPECT_FALSE(codec::events(R"({"events":[]})"));
     EXPECT_FALSE(codec::hold_of(R"({"lease":"7"})"));
-    const auto e = codec::events(R"({"epoch":433,"events":[{"set":"c/9","data":{},"stamp":433},{"delete":"c/d","stamp":432}]})");
+    const auto e =
+        codec::events(R"({"epoch":433,"events":[{"set":"c/9","data":{},"stamp":433},{"delete":"c/d","stamp":432}]})");
     ASSERT_TRUE(e);
     EXPECT_TRUE(e->items[1].deleted);
 }
--- a/tests/test_config.cpp
+++ b/tests/test_config.cpp
@@ -52,7 +52,8 @@
 protected:
     std::string write(const std::string& text, const char* name = "settings") {
         const auto* info = ::testing::UnitTest::GetInstance()->current_test_info();
-        const auto path = std::filesystem::temp_directory_path() / (std::string("heronshift-") + info->name() + "-" + name);
+        const auto path =
+            std::filesystem::temp_directory_path() / (std::string("heronshift-") + info->name() + "-" + name);
         std::ofstream(path) << text;
         made_.push_back(path);
         return path.string();
@@ -108,13 +109,18 @@
         write("; our cluster\n(heronshift (alpha 2) (beta 0.5) (gamma 20) (pull-back-cap 5))\n"), 3);
     EXPECT_EQ(o.alpha, 2);
     EXPECT_EQ(o.pull_back_cap, 5);
-    const std::pair<const char*, const char*> cases[] = {
-        {"(heronshift (pull-back-cap -1))", "pull-back-cap"}, {"(heronshift (beta 1))", "beta"},
-        {"(heronshift (gamma 2))", "gamma"},                  {"(heronshift (round-s 1))", "round-s"},
-        {"(heronshift (alpha nan))", "alpha"},                {"(heronshift (reorder-cap 1.5))", "reorder-cap"},
-        {"(heronshift (colour 1))", "colour"},                {"(heronshift (alpha 1) (alpha 1))", "alpha"},
-        {"(heronshift (alpha))", "alpha"},                    {"(heronshift (alpha 1)", "parentheses"},
-        {"(other)", "heronshift"},                            {"(heronshift (batch 9))", "batch"}};
+    const std::pair<const char*, const char*> cases[] = {{"(heronshift (pull-back-cap -1))", "pull-back-cap"},
+                                                         {"(heronshift (beta 1))", "beta"},
+                                                         {"(heronshift (gamma 2))", "gamma"},
+                                                         {"(heronshift (round-s 1))", "round-s"},
+                                                         {"(heronshift (alpha nan))", "alpha"},
+                                                         {"(heronshift (reorder-cap 1.5))", "reorder-cap"},
+                                                         {"(heronshift (colour 1))", "colour"},
+                                                         {"(heronshift (alpha 1) (alpha 1))", "alpha"},
+                                                         {"(heronshift (alpha))", "alpha"},
+                                                         {"(heronshift (alpha 1)", "parentheses"},
+                                                         {"(other)", "heronshift"},
+                                                         {"(heronshift (batch 9))", "batch"}};
     for (const auto& [text, field] : cases) {
         const auto e = error_of([&, t = text] { load_operator_settings(write(t), 3); });
         EXPECT_NE(e.find(field), std::string::npos) << text << ": " << e;
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -62,9 +62,10 @@
 TEST(Core, LaunchesOnlyWhatTheStoreHolds) {
     OneTask s;
     ASSERT_EQ(s.launch.orders.size(), 1U);
-    s.give(OrdersAnswered{"n-1", s.launch.batch, 200, true,
-                          OneTask::report(2, s.fence, {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running,
-                                                        ExitCause::none, false}})});
+    s.give(OrdersAnswered{
+        "n-1", s.launch.batch, 200, true,
+        OneTask::report(2, s.fence,
+                        {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running, ExitCause::none, false}})});
     s.store_answers = false; // the answer of the store is still out
     auto effects = s.give(JobStored{job(2, Shape::service, 1, 1), 0});
     for (auto& e : s.idle(1)) effects.push_back(e);
@@ -90,9 +91,14 @@
     const auto spec = job(1, Shape::service, 1, 4);
     stored.jobs.push_back({"j/wk-000001", {{"spec", codec::to_json(spec)}, {"at", 0.0}}, 1, false});
     stored.machines.push_back({"m/n-1",
-                               {{"addr", "10.1.0.1:9000"}, {"flavor", "m8"}, {"yard", "a"}, {"standby", false},
-                                {"tenure", 1}, {"tasks", {"wk-000001/0:5"}}},
-                               1, false});
+                               {{"addr", "10.1.0.1:9000"},
+                                {"flavor", "m8"},
+                                {"yard", "a"},
+                                {"standby", false},
+                                {"tenure", 1},
+                                {"tasks", {"wk-000001/0:5"}}},
+                               1,
+                               false});
     Core core(settings, 7, stored, 0, 0);
     auto beat = [&](std::uint64_t counter, std::uint64_t fence) {
         std::vector<Command> q{Beat{OneTask::report(counter, fence), counter}};
@@ -124,9 +130,10 @@
 
 TEST(Core, ANewTenureMeansThatAllTasksAreGone) {
     OneTask s;
-    s.give(Beat{OneTask::report(2, s.fence, {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running,
-                                             ExitCause::none, false}}),
-                2});
+    s.give(
+        Beat{OneTask::report(2, s.fence,
+                             {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running, ExitCause::none, false}}),
+             2});
     EXPECT_EQ(s.core.view("wk-000001")->running, 1U);
     s.give(Beat{OneTask::report(1, s.fence, {}, 2), 3});
     EXPECT_EQ(s.core.view("wk-000001")->running, 0U);
@@ -134,9 +141,10 @@
 
 TEST(Core, ASilentMachineIsOccupiedUntilItsLeaseHasSurelyRunOut) {
     OneTask s;
-    s.give(Beat{OneTask::report(2, s.fence, {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running,
-                                             ExitCause::none, false}}),
-                2});
+    s.give(
+        Beat{OneTask::report(2, s.fence,
+                             {{"wk-000001", 0, s.launch.orders[0].try_no, TaskState::running, ExitCause::none, false}}),
+             2});
     s.idle(s.settings.lease_s - 0.5);
     EXPECT_EQ(s.core.live_tasks("wk-000001"), 1U);
     s.idle(2);
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -136,7 +136,8 @@
     EXPECT_GT(w.started, 20);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, Trouble, ::testing::Values(214U, 318U, 444U, 100U, 101U, 102U, 103U, 104U, 105U, 106U, 107U, 108U));
+INSTANTIATE_TEST_SUITE_P(Seeds, Trouble,
+                         ::testing::Values(214U, 318U, 444U, 100U, 101U, 102U, 103U, 104U, 105U, 106U, 107U, 108U));
 
 } // namespace
 } // namespace heronshift::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -79,9 +79,15 @@
     std::vector<std::string> broken;
     std::set<std::string> claims;
 
-    double chance() { return std::uniform_real_distribution<double>(0, 1)(rng); }
-    double between(double a, double b) { return std::uniform_real_distribution<double>(a, b)(rng); }
-    void send(double delay, std::function<void()> f) { messages.push_back({now + delay, std::move(f)}); }
+    double chance() {
+        return std::uniform_real_distribution<double>(0, 1)(rng);
+    }
+    double between(double a, double b) {
+        return std::uniform_real_distribution<double>(a, b)(rng);
+    }
+    void send(double delay, std::function<void()> f) {
+        messages.push_back({now + delay, std::move(f)});
+    }
 
     // A new holder of the office: everything it knows is what the store holds.
     void take_office() {
@@ -167,7 +173,8 @@
         if (w.spot && !spec.spot) broken.push_back("wrong_place " + name);
         for (const auto& l : settings.teams)
             if (l.name == spec.team && used.cpus > l.cpus_max + 1e-6) broken.push_back("quota " + name);
-        if (cancelled.contains(t.job) && now > cancelled[t.job] + settings.cancel_s) broken.push_back("ran_cancelled " + name);
+        if (cancelled.contains(t.job) && now > cancelled[t.job] + settings.cancel_s)
+            broken.push_back("ran_cancelled " + name);
     }
 
     void run_worker(Worker& w) {
@@ -192,7 +199,8 @@
                 t.state = TaskState::ended;
                 t.cause = ExitCause::done;
                 if (jobs[t.job].shape == Shape::gang)
-                    for (std::uint32_t i = 0; i < jobs[t.job].tasks; ++i) done_tasks.insert(fmt::format("{}/{}", t.job, i));
+                    for (std::uint32_t i = 0; i < jobs[t.job].tasks; ++i)
+                        done_tasks.insert(fmt::format("{}/{}", t.job, i));
                 done_tasks.insert(fmt::format("{}/{}", t.job, t.index));
             }
         }
@@ -230,8 +238,10 @@
                 if (!store_down) {
                     out = TxnOutcome::applied;
                     for (const auto& w : writes) {
-                        if (w.value) store[w.key] = *w.value;
-                        else store.erase(w.key);
+                        if (w.value)
+                            store[w.key] = *w.value;
+                        else
+                            store.erase(w.key);
                     }
                 }
                 if (id == core_id) queue.push_back(Committed{out});
