--- a/include/heronshift/codec.hpp
+++ b/include/heronshift/codec.hpp
@@ -16,6 +16,8 @@
 
 using Json = nlohmann::json;
 
+inline constexpr std::uint32_t most_tasks = 100'000; // of one job
+
 inline constexpr std::string_view path_jobs = "/v2/runs", path_health = "/up", path_report = "/agent/beat",
                                   path_commands = "/commands", path_status = "/status", path_types = "/machine_types",
                                   path_rentals = "/rentals", path_release = "/rentals/release", path_store = "/store",
--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -4,6 +4,7 @@
 
 #include "heronshift/codec.hpp"
 #include "heronshift/config.hpp"
+#include "heronshift/intents.hpp"
 #include "heronshift/placement.hpp"
 #include "heronshift/types.hpp"
 
@@ -106,10 +107,12 @@
 
 // What the store holds at a takeover.
 struct Snapshot {
-    std::vector<codec::Item> jobs, progress, machines;
+    std::vector<codec::Item> jobs, intents, progress;
+    std::vector<codec::Item> earlier; // of the layout before: a record a machine, one a job
 };
 
 inline constexpr int fence_bits = 24; // fence = term << fence_bits | raises within the term
+inline constexpr int try_bits = 32;   // attempt = term << try_bits | passes within the term
 
 class Core {
 public:
@@ -141,32 +144,38 @@
         float saved_s = 0; // progress known to be saved, estimated
     };
     struct Job;
+    struct Machine;
     struct Entry { // one task on one machine, as far as anyone can tell
+        Machine* machine = nullptr;
         Job* job = nullptr;
         std::uint32_t index = 0;
         std::uint64_t try_no = 0, tenure = 0, fence = 0;
         Phase phase = Phase::intent;
-        bool seen = false;   // in a report of this machine
-        bool stop = false;   // must end
-        bool moving = false; // stopped to be started elsewhere
+        bool recorded = false; // its record is in the store
+        bool seen = false;     // in a report of this machine
+        bool stop = false;     // must end
+        bool moving = false;   // stopped to be started elsewhere
         double drain_s = 0, stop_at = -1, placed_at = 0, running_at = -1;
+        std::uint64_t listed = 0;                            // the last report that listed it
+        int slot = -1;                                       // of the ring; -1: not in a record yet
+        std::size_t at_machine = 0, at_job = 0, at_slot = 0; // its places in those lists
     };
     struct Job {
         JobSpec spec;
-        int team = -1;
+        int team = -1, image = -1;
+        std::size_t bucket = 0; // of the progress records
         double submitted = 0;
         std::vector<Task> tasks;
         std::deque<std::uint32_t> pending;
+        std::vector<Entry*> entries;
         std::uint32_t done = 0, live = 0, running = 0;
         Final final = Final::none;
-        bool final_stored = false, final_queued = false, cancel_asked = false, guaranteed = false;
-        std::vector<std::uint32_t> unstored;              // done, not yet in the store
-        bool progress_queued = false, has_record = false; // d/ key in the store
-        double progress_since = 0;
+        bool final_stored = false, final_queued = false, guaranteed = false;
+        std::vector<std::uint32_t> unstored; // done, not yet in the store
         std::vector<std::uint32_t> zone_live;
         std::uint32_t on_pool = 0;
         std::uint64_t gang_try = 0;
-        bool gang_breaking = false, gang_started = false;
+        bool gang_breaking = false;
         double not_before = 0;
         int error_streak = 0;
         std::set<std::string> error_machines;
@@ -175,6 +184,11 @@
         double first_start = -1, room_until = -1;
     };
     enum class Status : std::uint8_t { booting, up, lost };
+    struct CachedImage {
+        int image = -1;
+        bool ready = false; // else being fetched
+        double used = 0;
+    };
     struct Machine {
         std::string id, addr;
         int type = -1, zone = -1;
@@ -182,15 +196,14 @@
         bool spot = false;
         Status status = Status::booting;
         std::uint64_t tenure = 0, counter = 0, fence = 0;
-        double last_seen = -1, known_since = 0, up_since = -1, age_at_known = 0;
-        std::vector<Entry> entries;
+        double last_seen = -1, known_since = 0, up_since = -1;
+        std::vector<std::unique_ptr<Entry>> entries;
         Resources used, whole;
-        bool record_due = false, recorded = false, record_stale = false;
         bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
         double release_retry = 0;
         double notice_until = -1;
         double empty_since = -1, avoid_until = 0, listed_at = -1;
-        std::map<std::string, double> images; // cached as far as known, with last use
+        std::vector<CachedImage> images; // cached as far as known
         std::set<std::string> failed_jobs;
         std::uint64_t batch = 0; // in flight, 0: none
         bool wants_orders = false;
@@ -213,7 +226,6 @@
     };
 
     // core.cpp
-    void load(const Snapshot& s, double wall);
     Job* find_job(const std::string& id);
     Machine* find_machine(const std::string& id);
     Machine& learn_machine(const std::string& id, const std::string& addr, const std::string& type,
@@ -229,27 +241,53 @@
     void handle(Listed& c);
     void handle(TypesKnown& c);
     bool apply_report(Machine& m, const Report& r, std::vector<Order>& reaps);
-    void update_entry(Machine& m, Entry& e, const ReportedTask& t);
-    void task_exited(Machine& m, const Entry& e, const ReportedTask& t);
+    void update_entry(Entry& e, const ReportedTask& t);
+    void task_exited(const Entry& e, const ReportedTask& t);
     void mark_done(Job& j, std::uint32_t index);
     bool may_reap(const ReportedTask& t);
     Entry& add_entry(Machine& m, Job& j, std::uint32_t index, std::uint64_t try_no);
-    void remove_entry(Machine& m, std::size_t at);
+    void remove_entry(Entry& e);
+    Entry* find_entry(const Machine& m, const ReportedTask& t) const;
+    void lose_entries(Machine& m);
+    int image_id(const std::string& name, double gb);
+    static CachedImage* cached(Machine& m, int image);
+    static bool has_image(const Machine& m, int image);
+    void use_image(Machine& m, int image, bool ready);
+    void want_orders(Machine& m);
+    void forget_machine(const std::string& id);
     void queue_task(Job& j, std::uint32_t index, bool front);
     void break_gang(Job& j);
-    void stop_entry(Machine& m, Entry& e, double drain_s);
+    void stop_entry(Entry& e, double drain_s);
     void finalize(Job& j, Final f);
     void drop_job(Job& j);
     void lapse_machines();
-    void collect_commit();
+    [[nodiscard]] double lease_surely_s() const; // when a worker's lease has run out for sure
+    [[nodiscard]] bool unproven() const {
+        return !unproven_.empty() && now_ < unproven_until_;
+    }
     void dispatch(Machine& m);
     std::vector<Order> standing_orders(Machine& m);
-    codec::Write machine_record(const Machine& m) const;
-    codec::Write job_record(Job& j) const;
     void note(int level, std::string text) {
         effects_.push_back(Note{level, std::move(text)});
     }
 
+    // records.cpp: what the store holds
+    struct Draft;
+    static std::size_t bucket_of(const std::string& id);
+    void load(const Snapshot& s, double wall);
+    void load_intent(const intents::Intent& i, int slot);
+    void load_done(Job& j, std::string_view ranges);
+    void load_earlier(const Snapshot& s);
+    void hold_unproven(const std::string& machine);
+    void collect_commit();
+    void draft_finals(Draft& d);
+    void draft_intents(Draft& d);
+    static std::string slot_text(std::vector<Entry*> list);
+    void draft_slot(Draft& d, std::size_t slot);
+    void draft_progress(Draft& d);
+    void put_in_slot(Entry& e, int slot);
+    void leave_slot(Entry& e);
+
     // planning.cpp
     void schedule();
     void mark_guarantees();
@@ -268,7 +306,6 @@
     void return_machines();
     void plan_round();
     void drain_noticed();
-    void request_record(Machine& m, bool urgent);
     void queue_rentals(std::map<std::string, Pending>& wanted);
     std::vector<Job*> waiting_jobs();
     double work_left(const Job& j) const;
@@ -289,8 +326,24 @@
     // The transaction being built and the one in flight.
     bool txn_open_ = false;
     double write_tokens_ = 0, tokens_at_ = 0;
-    std::deque<Job*> finals_, progress_;
-    std::deque<std::string> gone_records_, record_queue_;
+    std::deque<Job*> finals_;
+    std::deque<std::string> gone_records_; // keys that mean nothing any more
+    // Placements are stored in a ring of records: new ones go, with what is still live of it, into
+    // the record that was written longest ago. So a launch costs its share of one write.
+    struct Slot {
+        std::vector<Entry*> entries;
+        std::size_t stale = 0; // named in the store though gone
+        std::size_t size = 0;  // as last written
+    };
+    std::vector<Slot> ring_;
+    std::vector<Entry*> unrecorded_;
+    std::size_t next_slot_ = 0;
+    struct Bucket { // a progress record: the done tasks of a share of the jobs
+        bool dirty = false;
+        double since = 0;
+    };
+    std::vector<Bucket> buckets_;
+    double next_idle_write_ = 0;
     // Final states are immutable, so old ones may be answered from here. It holds more jobs than
     // a watch can lag behind, so a late event never brings a finished job back.
     std::unordered_map<std::string, Final> recent_;
@@ -299,8 +352,17 @@
     struct InFlight {
         std::vector<std::pair<Job*, Final>> finals, moves;
         std::vector<std::pair<Job*, std::vector<std::uint32_t>>> progress;
-        std::vector<std::string> machines, gone;
+        std::vector<std::size_t> slots, buckets;
+        std::vector<std::string> gone;
     } in_flight_;
+    std::vector<Machine*> to_dispatch_;
+    std::uint64_t report_seq_ = 0;
+    std::unordered_map<std::string, int> image_ids_;
+    std::vector<double> image_gb_;
+    // Machines whose records were damaged: until they have reported to us or their leases have
+    // surely lapsed, any task read at the takeover may be on them.
+    std::set<std::string> unproven_;
+    double unproven_until_ = 0;
 
     std::map<std::string, Pending> rentals_;
     std::map<std::string, double> no_capacity_; // "type/zone/kind" -> not before
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -105,6 +105,7 @@
     double ttl_s_, valid_until_ = 0, renew_sent_ = 0, next_renew_ = 0, hold_sent_ = 0;
     std::uint64_t generation_ = 0; // of the time in office: late answers of an earlier one are dropped
     Snapshot snapshot_;
+    int loads_left_ = 0;
     std::unique_ptr<Core> core_;
     std::vector<Command> queue_;
     bool running_core_ = false;
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -7,8 +7,6 @@
 namespace heronshift::codec {
 namespace {
 
-constexpr std::uint32_t most_tasks = 100'000;
-
 const Json* field(const Json& j, const char* name) {
     const auto it = j.find(name);
     return it == j.end() || it->is_null() ? nullptr : &*it;
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -10,39 +10,7 @@
 // Steady clocks drift apart by up to 0.05%; four times that, and some for timer steps.
 constexpr double drift = 1.002;
 constexpr double lapse_margin_reports = 0.2; // of report_s
-
-std::string ranges_of(const std::vector<bool>& bits, std::size_t most_bytes) {
-    std::string out;
-    for (std::size_t i = 0; i < bits.size();) {
-        if (!bits[i]) {
-            ++i;
-            continue;
-        }
-        std::size_t j = i;
-        while (j + 1 < bits.size() && bits[j + 1]) ++j;
-        if (out.size() + 14 > most_bytes) break; // what is left out is only run again
-        if (!out.empty()) out += ',';
-        out += i == j ? std::to_string(i) : fmt::format("{}-{}", i, j);
-        i = j + 1;
-    }
-    return out;
-}
-
-template <class F> void each_in_ranges(const std::string& text, F f) {
-    std::size_t at = 0;
-    while (at < text.size()) {
-        char* end = nullptr;
-        const auto a = std::strtoul(text.c_str() + at, &end, 10);
-        auto b = a;
-        if (end == text.c_str() + at) return;
-        if (*end == '-') {
-            const char* from = end + 1;
-            b = std::strtoul(from, &end, 10);
-        }
-        for (auto i = a; i <= b && i < 1'000'000; ++i) f(static_cast<std::uint32_t>(i));
-        at = static_cast<std::size_t>(end - text.c_str()) + 1;
-    }
-}
+constexpr std::size_t most_orders = 200;     // to a machine at once
 
 } // namespace
 
@@ -54,85 +22,6 @@
     next_round_ = now + s_.ops.round_s;
 }
 
-void Core::load(const Snapshot& stored, double wall) {
-    for (const auto& i : stored.jobs) {
-        if (!i.value.is_object() || !i.value.contains("spec")) continue;
-        auto spec = codec::spec_from_store(i.value["spec"]);
-        if (!spec) continue;
-        const double at = i.value.value("at", wall);
-        JobStored c{std::move(*spec), std::max(0.0, wall - at)};
-        handle(c);
-    }
-    for (const auto& i : stored.progress) {
-        auto* j = find_job(i.key.substr(2));
-        if (j == nullptr || !i.value.is_object()) continue;
-        j->has_record = true;
-        each_in_ranges(i.value.value("done", std::string()), [&](std::uint32_t k) {
-            if (k >= j->tasks.size() || j->tasks[k].done) return;
-            j->tasks[k].done = j->tasks[k].stored = true;
-            ++j->done;
-            j->had_success = true; // else a faulty machine is told from a bad job too late
-        });
-        const auto f = i.value.value("final", std::string());
-        if (!f.empty()) {
-            j->final = f == codec::status_done ? Final::done : Final::cancelled;
-            j->final_stored = true;
-            if (j->final == Final::done) j->done = j->spec.tasks;
-        } else if (j->done == j->spec.tasks) {
-            finalize(*j, Final::done);
-        }
-    }
-    for (const auto& i : stored.machines) {
-        const auto id = i.key.substr(2);
-        const auto& v = i.value;
-        if (!v.is_object()) continue;
-        auto& m = learn_machine(id, v.value("addr", ""), v.value("flavor", ""), v.value("yard", ""),
-                                v.value("standby", false));
-        m.recorded = true;
-        m.tenure = v.value("tenure", std::uint64_t{0});
-        // Whoever was entitled before us may have answered this machine until the moment we took
-        // office, so its lease counts from there.
-        m.last_seen = now_;
-        m.status = Status::up;
-        m.up_since = now_ - v.value("age", 0.0);
-        if (v.contains("img") && v["img"].is_array())
-            for (const auto& e : v["img"])
-                if (e.is_string()) m.images[e.get<std::string>()] = now_;
-        if (!v.contains("tasks") || !v["tasks"].is_array()) continue;
-        for (const auto& e : v["tasks"]) {
-            if (!e.is_string()) continue;
-            const auto text = e.get<std::string>();
-            const auto colon = text.rfind(':');
-            std::string job;
-            std::uint32_t index = 0;
-            if (colon == std::string::npos || !codec::split_task(text.substr(0, colon), job, index)) continue;
-            auto* j = find_job(job);
-            // The record of a job goes only when none of its tasks is left anywhere.
-            if (j == nullptr || index >= j->tasks.size()) continue;
-            auto& entry = add_entry(m, *j, index, std::strtoull(text.c_str() + colon + 1, nullptr, 10));
-            entry.phase = Phase::sent;
-            // Only a report that has seen our own term proves anything: one from before the launch
-            // may arrive late, and we have no count of this machine's to tell.
-            entry.fence = (term_ << fence_bits) - 1;
-            entry.tenure = m.tenure;
-            if (j->final != Final::none) stop_entry(m, entry, 0);
-        }
-    }
-    for (auto& [id, j] : jobs_) {
-        if (j->spec.shape == Shape::gang && j->live > 0) {
-            for (auto& [mid, m] : machines_)
-                for (auto& e : m->entries)
-                    if (e.job == j.get()) j->gang_try = std::max(j->gang_try, e.try_no);
-            if (j->live < j->spec.tasks - j->done) break_gang(*j);
-        }
-        if (j->final != Final::none && j->live == 0 && !j->final_queued) {
-            j->final_queued = true;
-            finals_.push_back(j.get());
-        }
-    }
-    dirty_ = true;
-}
-
 Core::Job* Core::find_job(const std::string& id) {
     const auto it = jobs_.find(id);
     return it == jobs_.end() ? nullptr : it->second.get();
@@ -149,8 +38,14 @@
             m.type = static_cast<int>(i);
             m.whole = types_[i].room;
         }
+    if (m.zone >= 0) return;
     for (std::size_t i = 0; i < s_.zones.size(); ++i)
         if (s_.zones[i] == m.zone_name) m.zone = static_cast<int>(i);
+    if (m.zone < 0) return;
+    for (const auto& e : m.entries) { // counted as in an unknown zone until now
+        --e->job->zone_live[s_.zones.size()];
+        ++e->job->zone_live[static_cast<std::size_t>(m.zone)];
+    }
 }
 
 Core::Machine& Core::learn_machine(const std::string& id, const std::string& addr, const std::string& type,
@@ -161,12 +56,12 @@
         slot->id = id;
         slot->known_since = now_;
         slot->fence = term_ << fence_bits;
+    }
+    if (!addr.empty()) slot->addr = addr;
+    if (slot->type_name.empty() && !type.empty()) {
         slot->type_name = type;
-        slot->zone_name = zone;
         slot->spot = spot;
     }
-    if (!addr.empty()) slot->addr = addr;
-    if (slot->type_name.empty()) slot->type_name = type;
     if (slot->zone_name.empty()) slot->zone_name = zone;
     if (slot->type < 0 || slot->zone < 0) bind_type(*slot);
     return *slot;
@@ -188,6 +83,7 @@
     if (dirty_ && now_ >= next_schedule_) {
         dirty_ = false;
         next_schedule_ = now_ + s_.report_s / 60;
+        ++try_seq_;
         schedule();
     }
     if (now_ >= next_rent_) {
@@ -200,11 +96,15 @@
         plan_round();
     }
     collect_commit();
-    for (auto& [id, m] : machines_)
-        if (m->wants_orders && m->batch == 0) dispatch(*m);
+    const auto due = std::move(to_dispatch_);
+    to_dispatch_.clear();
+    for (auto* m : due) {
+        m->wants_orders = false;
+        if (m->batch == 0) dispatch(*m); // else once the answer is in
+    }
     wake_at_ = next_tick_;
-    if (!txn_open_ && (!finals_.empty() || !record_queue_.empty()))
-        wake_at_ = std::min(wake_at_, now_ + 2 / s_.state_write_rps); // as soon as the budget allows
+    if (!txn_open_ && (!finals_.empty() || !unrecorded_.empty()))
+        wake_at_ = std::min(wake_at_, now_ + 1 / s_.state_write_rps); // as soon as the budget allows
     if (dirty_) wake_at_ = std::min(wake_at_, next_schedule_);
     return std::move(effects_);
 }
@@ -216,9 +116,16 @@
     j->submitted = now_ - c.age_s;
     j->tasks.resize(j->spec.tasks);
     j->zone_live.resize(s_.zones.size() + 1);
+    j->bucket = bucket_of(j->spec.id);
+    j->image = image_id(j->spec.image, j->spec.image_gb);
     for (std::size_t i = 0; i < teams_.size(); ++i)
         if (teams_[i].limits.name == j->spec.team) j->team = static_cast<int>(i);
-    if (j->team >= 0) teams_[static_cast<std::size_t>(j->team)].jobs.push_back(j.get());
+    if (j->team >= 0) {
+        auto& list = teams_[static_cast<std::size_t>(j->team)].jobs; // in the order of submission
+        const auto at =
+            std::find_if(list.rbegin(), list.rend(), [&](const Job* o) { return o->submitted <= j->submitted; });
+        list.insert(at.base(), j.get());
+    }
     for (std::uint32_t i = 0; i < j->spec.tasks; ++i) queue_task(*j, i, false);
     jobs_.emplace(j->spec.id, std::move(j));
     dirty_ = true;
@@ -261,21 +168,77 @@
     }
     // Nobody has any use for what runs after a cancellation was asked for; the answer still
     // waits for the store.
-    for (auto& [id, m] : machines_)
-        for (auto& e : m->entries)
-            if (e.job == &j) stop_entry(*m, e, 0);
+    note(0, fmt::format("job {} of {} tasks {} {:.1f} s after it was submitted", j.spec.id, j.spec.tasks,
+                        f == Final::done ? "done" : "cancelled", now_ - j.submitted));
+    for (auto* e : j.entries) stop_entry(*e, 0);
     dirty_ = true;
 }
 
+double Core::lease_surely_s() const {
+    return s_.lease_s * drift + s_.report_s * lapse_margin_reports;
+}
+
+int Core::image_id(const std::string& name, double gb) {
+    const auto [it, fresh] = image_ids_.emplace(name, static_cast<int>(image_gb_.size()));
+    if (fresh) image_gb_.push_back(gb);
+    return it->second;
+}
+
+Core::CachedImage* Core::cached(Machine& m, int image) {
+    for (auto& c : m.images)
+        if (c.image == image) return &c;
+    return nullptr;
+}
+
+bool Core::has_image(const Machine& m, int image) {
+    return std::any_of(m.images.begin(), m.images.end(),
+                       [&](const CachedImage& c) { return c.image == image && c.ready; });
+}
+
+// A machine keeps the images used last; what its cache cannot hold beside them is forgotten here too.
+void Core::use_image(Machine& m, int image, bool ready) {
+    auto* c = cached(m, image);
+    if (c == nullptr) c = &m.images.emplace_back(CachedImage{image, false, now_});
+    c->used = now_;
+    if (!ready || c->ready) return;
+    c->ready = true;
+    if (m.type < 0) return;
+    double room = types_[static_cast<std::size_t>(m.type)].cache_gb;
+    std::sort(m.images.begin(), m.images.end(), [](const auto& a, const auto& b) { return a.used > b.used; });
+    for (std::size_t i = 0; i < m.images.size(); ++i) {
+        room -= image_gb_[static_cast<std::size_t>(m.images[i].image)];
+        if (room >= 0 || i == 0) continue;
+        m.images.resize(i);
+        return;
+    }
+}
+
+void Core::want_orders(Machine& m) {
+    if (m.wants_orders) return;
+    m.wants_orders = true;
+    to_dispatch_.push_back(&m);
+}
+
+void Core::forget_machine(const std::string& id) {
+    const auto it = machines_.find(id);
+    if (it == machines_.end()) return;
+    std::erase(to_dispatch_, it->second.get());
+    machines_.erase(it);
+}
+
 Core::Entry& Core::add_entry(Machine& m, Job& j, std::uint32_t index, std::uint64_t try_no) {
-    Entry e;
+    auto& e = *m.entries.emplace_back(std::make_unique<Entry>());
+    e.machine = &m;
     e.job = &j;
     e.index = index;
     e.try_no = try_no;
     e.tenure = m.tenure;
     e.fence = m.fence;
     e.placed_at = now_;
-    m.entries.push_back(e);
+    e.at_machine = m.entries.size() - 1;
+    e.at_job = j.entries.size();
+    j.entries.push_back(&e);
+    put_in_slot(e, -1);
     m.used += j.spec.each;
     m.empty_since = -1;
     ++j.live;
@@ -283,30 +246,42 @@
     if (is_pool(m)) ++j.on_pool;
     ++j.zone_live[m.zone < 0 ? s_.zones.size() : static_cast<std::size_t>(m.zone)];
     if (j.team >= 0) teams_[static_cast<std::size_t>(j.team)].used += j.spec.each;
-    return m.entries.back();
-}
-
-void Core::remove_entry(Machine& m, std::size_t at) {
-    const Entry e = m.entries[at];
-    m.entries.erase(m.entries.begin() + static_cast<std::ptrdiff_t>(at));
-    auto& j = *e.job;
+    use_image(m, j.image, false);
+    return e;
+}
+
+void Core::remove_entry(Entry& gone) {
+    auto& m = *gone.machine;
+    auto& j = *gone.job;
+    leave_slot(gone);
+    if (gone.slot >= 0) ++ring_[static_cast<std::size_t>(gone.slot)].stale;
+    j.entries[gone.at_job] = j.entries.back();
+    j.entries[gone.at_job]->at_job = gone.at_job;
+    j.entries.pop_back();
+    const auto owned = std::move(m.entries[gone.at_machine]);
+    if (gone.at_machine + 1 < m.entries.size()) {
+        m.entries[gone.at_machine] = std::move(m.entries.back());
+        m.entries[gone.at_machine]->at_machine = gone.at_machine;
+    }
+    m.entries.pop_back();
+    const Entry& e = *owned;
     m.used -= j.spec.each;
     if (m.entries.empty()) {
         m.used = {};
         m.empty_since = now_;
     }
-    m.record_stale = true;
     --j.live;
     --j.tasks[e.index].live;
     if (j.on_pool > 0 && is_pool(m)) --j.on_pool;
     if (e.phase == Phase::running && j.running > 0) --j.running;
     --j.zone_live[m.zone < 0 ? s_.zones.size() : static_cast<std::size_t>(m.zone)];
     if (j.team >= 0) teams_[static_cast<std::size_t>(j.team)].used -= j.spec.each;
-    if (j.final == Final::none && !j.tasks[e.index].done) queue_task(j, e.index, true);
-    if (j.spec.shape == Shape::gang && j.final == Final::none && !j.tasks[e.index].done) break_gang(j);
+    const bool open = j.final == Final::none && !j.tasks[e.index].done;
+    if (open) queue_task(j, e.index, true);
+    // What a stale record named of an earlier attempt says nothing about this one.
+    if (j.spec.shape == Shape::gang && open && e.try_no == j.gang_try) break_gang(j);
     if (j.live == 0) {
         j.gang_breaking = false;
-        j.gang_started = false;
         if (j.final != Final::none && j.final_stored && !j.final_queued) {
             j.final_queued = true;
             finals_.push_back(&j);
@@ -315,21 +290,25 @@
     dirty_ = true;
 }
 
+// All tasks here are gone for good; what a transaction under way names is settled by its outcome.
+void Core::lose_entries(Machine& m) {
+    for (std::size_t i = m.entries.size(); i-- > 0;)
+        if (m.entries[i]->phase != Phase::storing) remove_entry(*m.entries[i]);
+}
+
 // A gang that lost a task is stopped whole; it starts again once every old task is proven gone.
 void Core::break_gang(Job& j) {
     if (j.gang_breaking || j.live == 0) return;
     j.gang_breaking = true;
-    for (auto& [id, m] : machines_)
-        for (auto& e : m->entries)
-            if (e.job == &j) stop_entry(*m, e, 0);
+    for (auto* e : j.entries) stop_entry(*e, 0);
 }
 
-void Core::stop_entry(Machine& m, Entry& e, double drain_s) {
+void Core::stop_entry(Entry& e, double drain_s) {
     if (e.stop && e.drain_s <= drain_s) return;
     e.stop = true;
     e.drain_s = drain_s;
     e.stop_at = -1;
-    m.wants_orders = true;
+    want_orders(*e.machine);
 }
 
 bool Core::may_reap(const ReportedTask& t) {
@@ -354,14 +333,14 @@
     }
     if (j.done == j.spec.tasks) {
         if (j.final == Final::none) finalize(j, Final::done);
-    } else if (!j.progress_queued) {
-        j.progress_queued = true;
-        j.progress_since = now_;
-        progress_.push_back(&j);
+    } else if (auto& b = buckets_[j.bucket]; !b.dirty) {
+        b.dirty = true;
+        b.since = now_;
     }
 }
 
-void Core::task_exited(Machine& m, const Entry& e, const ReportedTask& t) {
+void Core::task_exited(const Entry& e, const ReportedTask& t) {
+    auto& m = *e.machine;
     auto& j = *e.job;
     auto& task = j.tasks[e.index];
     switch (t.cause) {
@@ -405,7 +384,7 @@
     }
 }
 
-void Core::update_entry(Machine& m, Entry& e, const ReportedTask& t) {
+void Core::update_entry(Entry& e, const ReportedTask& t) {
     e.seen = true;
     const auto was = e.phase;
     switch (t.state) {
@@ -423,7 +402,13 @@
     } else if (was == Phase::running && e.phase != Phase::running && j.running > 0) {
         --j.running;
     }
-    if (e.phase == Phase::running || e.phase == Phase::waiting) m.images[j.spec.image] = now_;
+    if (e.phase == Phase::running || e.phase == Phase::waiting) use_image(*e.machine, j.image, true);
+}
+
+Core::Entry* Core::find_entry(const Machine& m, const ReportedTask& t) const {
+    for (const auto& e : m.entries)
+        if (e->index == t.index && e->try_no == t.try_no && e->job->spec.id == t.job) return e.get();
+    return nullptr;
 }
 
 // Returns false when the report shows that we are out of date.
@@ -438,12 +423,13 @@
     }
     const bool newer = r.tenure > m.tenure || (r.tenure == m.tenure && r.counter > m.counter);
     if (!newer) return true; // late: its task list is as old as the report
+    if (r.fence >> fence_bits == term_) unproven_.erase(m.id);
     if (r.tenure > m.tenure) {
         // A new tenure: all tasks of the earlier ones are gone, and commands for those are void.
         for (std::size_t i = m.entries.size(); i-- > 0;)
-            if (m.entries[i].tenure < r.tenure) {
+            if (m.entries[i]->tenure < r.tenure) {
                 ++lost_;
-                remove_entry(m, i);
+                remove_entry(*m.entries[i]);
             }
         m.tenure = r.tenure;
         m.failed_jobs.clear();
@@ -455,30 +441,24 @@
         if (m.entries.empty()) m.empty_since = now_;
         dirty_ = true;
     }
-    std::vector<bool> listed(m.entries.size(), false);
-    std::vector<std::size_t> ended;
-    std::vector<const ReportedTask*> ended_as;
+    const auto mark = ++report_seq_;
+    std::vector<std::pair<Entry*, const ReportedTask*>> ended;
     for (const auto& t : r.tasks) {
-        std::size_t at = m.entries.size();
-        for (std::size_t i = 0; i < m.entries.size(); ++i) {
-            const auto& e = m.entries[i];
-            if (e.index == t.index && e.try_no == t.try_no && e.job->spec.id == t.job) at = i;
-        }
+        auto* e = find_entry(m, t);
+        if (e != nullptr) e->listed = mark;
         if (t.state == TaskState::ended) {
-            if (at < m.entries.size()) {
-                ended.push_back(at);
-                ended_as.push_back(&t);
-                if (at < listed.size()) listed[at] = true;
-            } else if (auto* j = find_job(t.job); j != nullptr && t.cause == ExitCause::done &&
-                                                  t.index < j->tasks.size() && j->final == Final::none) {
-                mark_done(*j, t.index);
+            if (e != nullptr) {
+                ended.emplace_back(e, &t);
+                continue;
             }
-            if (at == m.entries.size() && may_reap(t)) reaps.push_back({Verb::reap, t.job, t.index, t.try_no, 0});
+            if (auto* j = find_job(t.job);
+                j != nullptr && t.cause == ExitCause::done && t.index < j->tasks.size() && j->final == Final::none)
+                mark_done(*j, t.index);
+            if (may_reap(t)) reaps.push_back({Verb::reap, t.job, t.index, t.try_no, 0});
             continue;
         }
-        if (at < m.entries.size()) {
-            update_entry(m, m.entries[at], t);
-            if (at < listed.size()) listed[at] = true;
+        if (e != nullptr) {
+            update_entry(*e, t);
             continue;
         }
         // A task that we do not know to be here. It occupies its place all the same.
@@ -489,26 +469,22 @@
         }
         const bool wanted = j->final == Final::none && !j->tasks[t.index].done && j->tasks[t.index].live == 0 &&
                             (j->spec.shape != Shape::gang || j->gang_try == t.try_no);
-        auto& e = add_entry(m, *j, t.index, t.try_no);
-        update_entry(m, e, t);
-        if (!wanted) stop_entry(m, e, 0);
-        listed.push_back(true);
+        auto& fresh = add_entry(m, *j, t.index, t.try_no);
+        fresh.listed = mark;
+        update_entry(fresh, t);
+        if (!wanted) stop_entry(fresh, 0);
     }
     // What is not listed is gone if it had been seen here before, or if the machine had by then
     // seen a fence above that of its launch, which can therefore no longer be executed.
-    std::vector<std::size_t> gone;
-    for (std::size_t i = 0; i < m.entries.size(); ++i) {
-        const auto& e = m.entries[i];
-        const bool was_sent = e.phase >= Phase::sent;
-        if (i < listed.size() && listed[i]) continue;
-        if (was_sent && (e.seen || r.fence > e.fence)) gone.push_back(i);
-    }
-    for (std::size_t k = 0; k < ended.size(); ++k) task_exited(m, m.entries[ended[k]], *ended_as[k]);
-    for (const auto i : ended) gone.push_back(i);
-    std::sort(gone.begin(), gone.end());
-    gone.erase(std::unique(gone.begin(), gone.end()), gone.end());
-    for (std::size_t k = gone.size(); k-- > 0;) remove_entry(m, gone[k]);
-    for (const auto* t : ended_as)
+    std::vector<Entry*> gone;
+    for (const auto& e : m.entries)
+        if (e->listed != mark && e->phase >= Phase::sent && (e->seen || r.fence > e->fence)) gone.push_back(e.get());
+    for (const auto& [e, t] : ended) {
+        task_exited(*e, *t);
+        gone.push_back(e);
+    }
+    for (auto* e : gone) remove_entry(*e);
+    for (const auto& [e, t] : ended)
         if (may_reap(*t)) reaps.push_back({Verb::reap, t->job, t->index, t->try_no, 0});
     if (r.notice_s >= 0 && !m.draining) {
         m.draining = true;
@@ -522,11 +498,11 @@
 std::vector<Order> Core::standing_orders(Machine& m) {
     std::vector<Order> out;
     for (auto& e : m.entries)
-        if (e.stop && e.phase >= Phase::sent) {
+        if (e->stop && e->phase >= Phase::sent) {
             // A second stop of a saving task with no grace would end it before it has saved.
-            if (e.phase == Phase::saving && e.drain_s > 0) continue;
-            e.stop_at = now_;
-            out.push_back({Verb::stop, e.job->spec.id, e.index, e.try_no, e.drain_s});
+            if (e->phase == Phase::saving && e->drain_s > 0) continue;
+            e->stop_at = now_;
+            out.push_back({Verb::stop, e->job->spec.id, e->index, e->try_no, e->drain_s});
         }
     return out;
 }
@@ -550,29 +526,27 @@
 }
 
 void Core::dispatch(Machine& m) {
-    m.wants_orders = false;
     SendOrders o;
-    std::vector<std::pair<std::uint32_t, const Job*>> launches;
     for (auto& e : m.entries) {
-        if (o.orders.size() >= 200) {
-            m.wants_orders = true;
+        if (o.orders.size() >= most_orders) {
+            want_orders(m);
             break;
         }
-        if (e.stop && e.phase >= Phase::sent && e.stop_at < 0) {
-            e.stop_at = now_;
-            o.orders.push_back({Verb::stop, e.job->spec.id, e.index, e.try_no, e.drain_s});
+        if (e->stop && e->phase >= Phase::sent && e->stop_at < 0) {
+            e->stop_at = now_;
+            o.orders.push_back({Verb::stop, e->job->spec.id, e->index, e->try_no, e->drain_s});
         }
     }
     for (std::size_t i = m.entries.size(); i-- > 0;) {
-        auto& e = m.entries[i];
+        auto& e = *m.entries[i];
         if (e.phase != Phase::stored) continue;
         // Never sent, so it is surely not there.
-        if (e.stop || e.tenure != m.tenure || m.status != Status::up || e.job->final != Final::none) {
-            remove_entry(m, i);
+        if (e.stop || e.tenure != m.tenure || m.status != Status::up || m.addr.empty() || e.job->final != Final::none) {
+            remove_entry(e);
             continue;
         }
-        if (o.orders.size() >= 200) {
-            m.wants_orders = true;
+        if (o.orders.size() >= most_orders) {
+            want_orders(m);
             continue;
         }
         // Each launch is sent once: repeated after a reap it would start the task again.
@@ -594,14 +568,16 @@
     auto* m = find_machine(c.machine);
     if (m == nullptr || m->batch != c.batch) return;
     m->batch = 0;
-    m->wants_orders = true;
+    want_orders(*m);
     const auto fence = m->fence;
-    auto outstanding = [&](const Entry& e) { return e.phase == Phase::sent && !e.seen && e.fence == fence; };
+    auto outstanding = [&](const std::unique_ptr<Entry>& e) {
+        return e->phase == Phase::sent && !e->seen && e->fence == fence;
+    };
     std::vector<Order> reaps;
     if (c.status == 200 && c.report && c.report->tenure == m->tenure) {
         // The body is the report after the commands: what it does not list did not start.
         for (auto& e : m->entries)
-            if (outstanding(e) && c.report->counter > m->counter) e.seen = true;
+            if (outstanding(e) && c.report->counter > m->counter) e->seen = true;
         apply_report(*m, *c.report, reaps);
         // A newer report overtook this answer without settling a launch: raise the fence.
         if (std::any_of(m->entries.begin(), m->entries.end(), outstanding)) ++m->fence;
@@ -609,8 +585,8 @@
     }
     if (c.status == 409 || !c.sent) {
         for (std::size_t i = m->entries.size(); i-- > 0;)
-            if (outstanding(m->entries[i])) remove_entry(*m, i);
-        for (auto& e : m->entries) e.stop_at = e.stop ? now_ : e.stop_at; // beats repeat the stops
+            if (outstanding(m->entries[i])) remove_entry(*m->entries[i]);
+        for (auto& e : m->entries) e->stop_at = e->stop ? now_ : e->stop_at; // beats repeat the stops
         if (!c.sent) m->avoid_until = std::max(m->avoid_until, now_ + s_.report_s / 2);
         if (c.report) apply_report(*m, *c.report, reaps);
         return;
@@ -623,232 +599,23 @@
 }
 
 void Core::lapse_machines() {
-    const double lease = s_.lease_s * drift + s_.report_s * lapse_margin_reports;
+    const double lease = lease_surely_s();
     std::vector<std::string> remove;
     for (auto& [id, mp] : machines_) {
         auto& m = *mp;
         if (m.status == Status::up && now_ > m.last_seen + lease) {
             if (!m.entries.empty()) note(2, fmt::format("lease of {} has lapsed, {} tasks lost", id, m.entries.size()));
-            for (std::size_t i = m.entries.size(); i-- > 0;) {
-                auto& e = m.entries[i];
-                if (e.phase < Phase::sent) continue;
-                ++lost_;
-                remove_entry(m, i);
-            }
-            for (std::size_t i = m.entries.size(); i-- > 0;)
-                if (m.entries[i].phase == Phase::intent || m.entries[i].phase == Phase::stored) remove_entry(m, i);
+            for (const auto& e : m.entries) lost_ += e->phase >= Phase::sent;
+            lose_entries(m);
             m.status = Status::lost;
             m.empty_since = now_;
-            // Else the next holder would count these tasks for a whole lease again.
-            if (m.recorded) request_record(m, false);
+            unproven_.erase(id);
         }
         // Gone from the list for good, or never there: nothing of it is left to keep.
         const bool unlisted = now_ - std::max(m.listed_at, m.known_since) > 4 * s_.list_lag_s + 2 * s_.lease_s;
         if (m.status != Status::up && m.entries.empty() && unlisted && m.batch == 0) remove.push_back(id);
     }
-    for (const auto& id : remove) {
-        if (machines_[id]->recorded) gone_records_.push_back(id);
-        machines_.erase(id);
-    }
-}
-
-codec::Write Core::machine_record(const Machine& m) const {
-    auto tasks = codec::Json::array();
-    for (const auto& e : m.entries) tasks.push_back(fmt::format("{}/{}:{}", e.job->spec.id, e.index, e.try_no));
-    auto images = codec::Json::array();
-    for (const auto& [image, used] : m.images)
-        if (images.size() < 40) images.push_back(image);
-    return {"m/" + m.id,
-            codec::Json{{"addr", m.addr},
-                        {"flavor", m.type_name},
-                        {"yard", m.zone_name},
-                        {"standby", m.spot},
-                        {"tenure", m.tenure},
-                        {"age", std::max(0.0, now_ - m.up_since)},
-                        {"img", std::move(images)},
-                        {"tasks", std::move(tasks)}},
-            0};
-}
-
-// Progress and a final state that still has tasks on machines. The job's own record is written
-// once by whoever accepted it and deleted when nothing of the job is left.
-codec::Write Core::job_record(Job& j) const {
-    j.has_record = true;
-    codec::Json v = codec::Json::object();
-    if (j.done > 0 && j.final != Final::done) {
-        std::vector<bool> bits(j.tasks.size());
-        for (std::size_t i = 0; i < bits.size(); ++i) bits[i] = j.tasks[i].done;
-        v["done"] = ranges_of(bits, static_cast<std::size_t>(s_.value_kb * 1024 * 0.75));
-    }
-    if (j.final != Final::none) v["final"] = j.final == Final::done ? codec::status_done : codec::status_cancelled;
-    return {"d/" + j.spec.id, std::move(v), 0};
-}
-
-// One transaction is in flight at a time; this builds the next of what is due, most urgent first.
-void Core::collect_commit() {
-    if (txn_open_ || stepped_down_) return;
-    // The holder's part of the write budget; the rest is left to submissions on all nodes.
-    const double rate = s_.state_write_rps * 0.7;
-    write_tokens_ = std::min(write_tokens_ + (now_ - tokens_at_) * rate, s_.state_write_rps * 0.5);
-    tokens_at_ = now_;
-    const auto most = std::min<std::size_t>(static_cast<std::size_t>(s_.txn_ops) - 1,
-                                            write_tokens_ < 2 ? 0 : static_cast<std::size_t>(write_tokens_) - 1);
-    constexpr std::size_t most_bytes = 48 * 1024;
-    if (most == 0) return;
-    Commit c;
-    std::size_t bytes = 0;
-    auto full = [&](std::size_t more) { return c.writes.size() + more > most || bytes > most_bytes; };
-    auto add = [&](codec::Write w) {
-        bytes += w.value ? w.value->dump().size() + 100 : 100;
-        c.writes.push_back(std::move(w));
-    };
-    auto& f = in_flight_;
-    f = {};
-    while (!finals_.empty() && !full(3)) {
-        auto* j = finals_.front();
-        finals_.pop_front();
-        j->final_queued = false;
-        const auto status = j->final == Final::done ? codec::status_done : codec::status_cancelled;
-        if (!j->final_stored) add({"f/" + j->spec.id, codec::Json{{"s", status}}, 0});
-        if (j->live == 0) {
-            add({"j/" + j->spec.id, std::nullopt, 0});
-            if (j->has_record) add({"d/" + j->spec.id, std::nullopt, 0});
-            f.moves.emplace_back(j, j->final);
-        } else if (!j->final_stored) {
-            add(job_record(*j));
-            f.finals.emplace_back(j, j->final);
-        }
-    }
-    auto add_machine = [&](Machine& m) {
-        m.record_due = m.record_stale = false;
-        add(machine_record(m));
-        f.machines.push_back(m.id);
-        for (auto& e : m.entries)
-            if (e.phase == Phase::intent) e.phase = Phase::storing;
-    };
-    while (!record_queue_.empty() && !full(1)) {
-        auto* m = find_machine(record_queue_.front());
-        record_queue_.pop_front();
-        if (m != nullptr && m->record_due) add_machine(*m);
-    }
-    while (!gone_records_.empty() && !full(1)) {
-        const auto id = gone_records_.front();
-        gone_records_.pop_front();
-        if (machines_.contains(id)) continue;
-        add({"m/" + id, std::nullopt, 0});
-        f.gone.push_back(id);
-    }
-    // Progress gathers for a while: it costs a write a job, and losing it only an image fetch.
-    while (!progress_.empty() && !full(1) && now_ - progress_.front()->progress_since > s_.report_s / 3) {
-        auto* j = progress_.front();
-        progress_.pop_front();
-        j->progress_queued = false;
-        if (j->final != Final::none || j->unstored.empty()) continue;
-        add(job_record(*j));
-        f.progress.emplace_back(j, std::move(j->unstored));
-        j->unstored.clear();
-    }
-    if (write_tokens_ > s_.state_write_rps * 0.25)
-        for (auto& [id, m] : machines_) {
-            if (full(static_cast<std::size_t>(s_.txn_ops) / 2)) break;
-            // A record that names tasks long gone would keep their places after a takeover.
-            if (!m->record_stale || !m->recorded) continue;
-            add_machine(*m);
-        }
-    if (c.writes.empty()) return;
-    txn_open_ = true;
-    write_tokens_ -= static_cast<double>(c.writes.size()) + 1;
-    effects_.push_back(std::move(c));
-}
-
-void Core::handle(Committed& c) {
-    txn_open_ = false;
-    auto f = std::move(in_flight_);
-    in_flight_ = {};
-    if (c.outcome == TxnOutcome::office_lost) {
-        stepped_down_ = true;
-        return;
-    }
-    const bool ok = c.outcome == TxnOutcome::applied;
-    if (ok) ++committed_;
-    auto answer = [&](Job& j) {
-        for (const auto h : j.cancels)
-            effects_.push_back(
-                CancelAnswer{h, std::string(j.final == Final::done ? codec::status_done : codec::status_cancelled)});
-        j.cancels.clear();
-    };
-    auto again = [&](Job& j) {
-        if (j.final_queued) return;
-        j.final_queued = true;
-        finals_.push_back(&j);
-    };
-    for (auto& [j, final] : f.finals) {
-        if (!ok) {
-            again(*j);
-            continue;
-        }
-        j->final_stored = true;
-        answer(*j);
-        if (j->live == 0) again(*j);
-    }
-    for (auto& [j, final] : f.moves) {
-        if (!ok) {
-            again(*j);
-            continue;
-        }
-        j->final_stored = true;
-        answer(*j);
-        drop_job(*j);
-    }
-    for (auto& [j, list] : f.progress) {
-        if (ok) {
-            for (const auto i : list) j->tasks[i].stored = true;
-        } else {
-            j->unstored.insert(j->unstored.end(), list.begin(), list.end());
-            if (!j->progress_queued) {
-                j->progress_queued = true;
-                progress_.push_back(j);
-            }
-        }
-    }
-    for (const auto& id : f.machines) {
-        auto* m = find_machine(id);
-        if (m == nullptr) continue;
-        if (ok)
-            m->recorded = true;
-        else
-            request_record(*m, true);
-        for (auto& e : m->entries)
-            if (e.phase == Phase::storing) e.phase = ok ? Phase::stored : Phase::intent;
-        m->wants_orders = true;
-    }
-    if (!ok)
-        for (const auto& id : f.gone) gone_records_.push_back(id);
-}
-
-void Core::request_record(Machine& m, bool urgent) {
-    if (m.record_due && !urgent) return;
-    m.record_due = true;
-    if (urgent)
-        record_queue_.push_front(m.id);
-    else
-        record_queue_.push_back(m.id);
-}
-
-// The store keeps the final state; memory only holds what is alive.
-void Core::drop_job(Job& j) {
-    if (recent_.emplace(j.spec.id, j.final).second) {
-        recent_order_.push_back(j.spec.id);
-        if (recent_order_.size() > 5000) {
-            recent_.erase(recent_order_.front());
-            recent_order_.pop_front();
-        }
-    }
-    if (j.live > 0) return; // something showed up meanwhile: it is stopped first
-    if (j.team >= 0) std::erase(teams_[static_cast<std::size_t>(j.team)].jobs, &j);
-    std::erase(finals_, &j);
-    std::erase(progress_, &j);
-    jobs_.erase(std::string(j.spec.id));
+    for (const auto& id : remove) forget_machine(id);
 }
 
 void Core::handle(Rented& c) {
@@ -888,12 +655,10 @@
             continue;
         }
         // By the time of the answer the machine and everything on it are gone.
-        for (std::size_t i = m->entries.size(); i-- > 0;)
-            if (m->entries[i].phase != Phase::storing) remove_entry(*m, i);
+        lose_entries(*m);
         if (!m->entries.empty()) continue; // asked again once the store has answered
-        if (m->recorded) gone_records_.push_back(id);
         released_[id] = now_;
-        machines_.erase(id);
+        forget_machine(id);
     }
     while (released_.size() > 2000) released_.erase(released_.begin());
     dirty_ = true;
@@ -909,8 +674,7 @@
         if (known == nullptr) m.known_since = now_ - l.age_s;
         if (l.status == "failed" && !m.releasing) {
             note(1, fmt::format("machine {} has failed", m.id));
-            for (std::size_t i = m.entries.size(); i-- > 0;)
-                if (m.entries[i].phase != Phase::storing) remove_entry(m, i);
+            lose_entries(m);
             m.status = Status::lost;
             m.bad = true;
         }
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -145,22 +145,26 @@
     next_renew_ = 0;
     spdlog::info("took office, term {}", term_);
     snapshot_ = {};
-    load("j/", "", &snapshot_.jobs, [this] {
-        load("d/", "", &snapshot_.progress, [this] {
-            load("m/", "", &snapshot_.machines, [this] {
-                core_ = std::make_unique<Core>(s_, term_, snapshot_, now(), wall());
-                spdlog::info("term {}: {} jobs and {} machines read", term_, snapshot_.jobs.size(),
-                             snapshot_.machines.size());
-                snapshot_ = {};
-                office_ = Office::held;
-                queue_.clear();
-                if (!types_.empty()) push(TypesKnown{types_});
-                next_list_ = 0;
-                follow_jobs();
-                arm();
-            });
-        });
-    });
+    // All at once: only jobs can still change, by other nodes, and those changes are followed.
+    loads_left_ = 5;
+    auto read = [this] {
+        if (--loads_left_ > 0) return;
+        core_ = std::make_unique<Core>(s_, term_, snapshot_, now(), wall());
+        spdlog::info("term {}: {} jobs and {} records read", term_, snapshot_.jobs.size(),
+                     snapshot_.intents.size() + snapshot_.progress.size() + snapshot_.earlier.size());
+        snapshot_ = {};
+        office_ = Office::held;
+        queue_.clear();
+        if (!types_.empty()) push(TypesKnown{types_});
+        next_list_ = 0;
+        follow_jobs();
+        arm();
+    };
+    load("j/", "", &snapshot_.jobs, read);
+    load("i/", "", &snapshot_.intents, read);
+    load("p/", "", &snapshot_.progress, read);
+    load("m/", "", &snapshot_.earlier, read);
+    load("d/", "", &snapshot_.earlier, read);
 }
 
 void Node::renew() {
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -68,9 +68,10 @@
         return false;
     if (m.spot && !spec.spot) return false;
     if (!allows(spec.types, m.type_name) || (!spec.zone.empty() && spec.zone != m.zone_name)) return false;
-    if (m.entries.size() >= static_cast<std::size_t>(s_.value_kb * 1024 / 64)) return false; // its record's limit
     if (spec.one_zone && j.live > 0 && j.zone_live[static_cast<std::size_t>(m.zone)] != j.live) return false;
-    if (spec.spread && j.zone_live[static_cast<std::size_t>(m.zone)] >= half_up(spec.tasks)) return false;
+    // What is in an unknown zone may be in any.
+    if (spec.spread && j.zone_live[static_cast<std::size_t>(m.zone)] + j.zone_live.back() >= half_up(spec.tasks))
+        return false;
     return true;
 }
 
@@ -78,11 +79,13 @@
 double Core::placement_cost(const Machine& m, const Job& j) const {
     const auto& t = types_[static_cast<std::size_t>(m.type)];
     double cost = 0;
-    if (!m.images.contains(j.spec.image)) {
-        bool coming = false;
-        for (const auto& e : m.entries) coming = coming || e.job->spec.image == j.spec.image;
-        cost += j.spec.image_gb / t.fetch_gb_per_s * (coming ? 0.5 : 1);
-    }
+    bool coming = false, ready = false;
+    for (const auto& c : m.images)
+        if (c.image == j.image) {
+            ready = c.ready;
+            coming = now_ - c.used < 2 * j.spec.image_gb / t.fetch_gb_per_s;
+        }
+    if (!ready) cost += j.spec.image_gb / t.fetch_gb_per_s * (coming ? 0.5 : 1);
     if (j.spec.spot && !m.spot) cost += 2;
     const bool lasting = j.spec.shape == Shape::service;
     if (lasting != is_pool(m)) cost += lasting ? 15 : 4;
@@ -107,7 +110,6 @@
 void Core::mark_guarantees() {
     for (auto& t : teams_) {
         double cpus = 0, gpus = 0;
-        std::sort(t.jobs.begin(), t.jobs.end(), [](const Job* a, const Job* b) { return a->submitted < b->submitted; });
         for (auto* j : t.jobs) {
             if (j->final != Final::none) continue;
             cpus += j->spec.each.cpus * j->spec.tasks;
@@ -157,10 +159,10 @@
         j.pending.pop_front();
         j.tasks[i].queued = false;
         if (j.tasks[i].done || j.tasks[i].live > 0) continue;
-        if (j.spec.shape != Shape::gang) ++try_seq_;
-        const auto try_no = j.spec.shape == Shape::gang ? j.gang_try : (term_ << fence_bits) + try_seq_;
+        // A task is placed once a pass at most, so the pass makes the attempt unique.
+        const auto try_no = (term_ << try_bits) + try_seq_;
+        if (j.spec.shape == Shape::gang) j.gang_try = try_no;
         add_entry(m, j, i, try_no);
-        request_record(m, j.spec.rank == Rank::critical);
         return;
     }
 }
@@ -288,7 +290,6 @@
         }
     }
     if (best.empty()) return false;
-    j.gang_try = (term_ << fence_bits) + ++try_seq_;
     j.gang_breaking = false;
     for (auto* m : best) place(j, *m);
     return true;
@@ -314,7 +315,7 @@
         std::vector<std::pair<double, std::size_t>> order;
         auto free = m->whole - m->used;
         for (std::size_t i = 0; i < m->entries.size(); ++i) {
-            const auto& e = m->entries[i];
+            const auto& e = *m->entries[i];
             const auto& v = e.job->spec;
             if (e.stop) {
                 free += v.each;
@@ -324,11 +325,11 @@
             if (lower && v.shape != Shape::gang) order.emplace_back(loss_of(e), i);
         }
         std::sort(order.begin(), order.end());
-        double loss = m->images.contains(j.spec.image) ? 0 : 1;
+        double loss = has_image(*m, j.image) ? 0 : 1;
         std::vector<std::size_t> victims;
         for (const auto& [l, i] : order) {
             if (j.spec.each.fits(free)) break;
-            free += m->entries[i].job->spec.each;
+            free += m->entries[i]->job->spec.each;
             loss += l;
             victims.push_back(i);
         }
@@ -340,8 +341,7 @@
     }
     if (best == nullptr) return false;
     for (const auto i : best_victims) {
-        auto& e = best->entries[i];
-        stop_entry(*best, e, 0);
+        stop_entry(*best->entries[i], 0);
         ++preempted_;
     }
     note(0, fmt::format("job {} takes the place of {} tasks on {}", j.spec.id, best_victims.size(), best->id));
@@ -352,7 +352,7 @@
 }
 
 void Core::schedule() {
-    if (types_.empty()) return;
+    if (types_.empty() || unproven()) return;
     mark_guarantees();
     choose_pool();
     const auto jobs = waiting_jobs();
@@ -518,7 +518,7 @@
         if (m.status == Status::lost && m.entries.empty() && (m.bad || now_ - m.last_seen > 2 * s_.lease_s))
             give_back = true;
         if (m.bad && m.status == Status::up) {
-            for (auto& e : m.entries) stop_entry(m, e, e.job->spec.checkpoint_s > 0 ? e.job->spec.save_s + 1 : 0);
+            for (auto& e : m.entries) stop_entry(*e, e->job->spec.checkpoint_s > 0 ? e->job->spec.save_s + 1 : 0);
             if (m.entries.empty()) give_back = true;
         }
         if (m.status == Status::up && m.entries.empty() && !m.draining && m.empty_since >= 0 &&
@@ -539,13 +539,14 @@
 void Core::drain_noticed() {
     for (auto& [id, m] : machines_) {
         if (!m->draining || m->entries.empty()) continue;
-        for (auto& e : m->entries) {
+        for (auto& owned : m->entries) {
+            auto& e = *owned;
             const auto& s = e.job->spec;
             if (e.stop || e.phase < Phase::sent) continue;
             const double left = m->notice_until - now_;
             const double rest = s.estimate_s > 0 && e.running_at >= 0 ? s.estimate_s - (now_ - e.running_at) : 1e9;
             if (s.checkpoint_s <= 0 && rest > 0 && rest < left / 2) continue;
-            stop_entry(*m, e, s.checkpoint_s > 0 ? s.save_s + 1 : 0);
+            stop_entry(e, s.checkpoint_s > 0 ? s.save_s + 1 : 0);
         }
     }
 }
@@ -577,7 +578,7 @@
     for (auto& [id, m] : machines_) {
         if (m->status != Status::up || is_pool(*m)) continue;
         for (std::size_t i = 0; i < m->entries.size(); ++i) {
-            const auto& e = m->entries[i];
+            const auto& e = *m->entries[i];
             if (!movable(e) || e.job->spec.shape != Shape::service) continue;
             const double gain = placement::pool_gain(f, e.job->on_pool, e.job->spec.tasks, s_.ops.target_share);
             list.push_back({gain / placement::task_size(e.job->spec.each, pool), m.get(), i});
@@ -587,11 +588,11 @@
     int left = s_.ops.pull_back_cap;
     for (auto& c : list) {
         if (left <= 0) break;
-        auto& e = c.from->entries[c.at];
+        auto& e = *c.from->entries[c.at];
         for (auto* m : pool_machines) {
             const auto room = m->whole - m->used;
-            if (!usable(*m, *e.job) || !e.job->spec.each.fits(room) || !m->images.contains(e.job->spec.image)) continue;
-            stop_entry(*c.from, e, e.job->spec.checkpoint_s > 0 ? e.job->spec.save_s + 1 : 0);
+            if (!usable(*m, *e.job) || !e.job->spec.each.fits(room) || !has_image(*m, e.job->image)) continue;
+            stop_entry(e, e.job->spec.checkpoint_s > 0 ? e.job->spec.save_s + 1 : 0);
             e.moving = true;
             ++moved_;
             --left;
@@ -607,19 +608,20 @@
     int looked = 0, moves = s_.ops.reorder_cap;
     for (std::size_t k = 0; k < pool_machines.size() && k < 3; ++k) {
         auto& from = *pool_machines[k];
-        for (auto& e : from.entries) {
+        for (auto& owned : from.entries) {
+            auto& e = *owned;
             if (moves <= 0 || looked >= 30) return;
             if (!movable(e)) continue;
             ++looked;
             for (auto* to : pool_machines) {
                 const auto& each = e.job->spec.each;
                 if (to == &from || !usable(*to, *e.job) || !each.fits(to->whole - to->used) ||
-                    !to->images.contains(e.job->spec.image))
+                    !has_image(*to, e.job->image))
                     continue;
                 const double before = frag(from, {}) + frag(*to, {});
                 const double after = frag(from, each) + frag(*to, each * -1);
                 if (before - after < 2 * each.cpus / from.whole.cpus) continue; // a clear fall only
-                stop_entry(from, e, e.job->spec.checkpoint_s > 0 ? e.job->spec.save_s + 1 : 0);
+                stop_entry(e, e.job->spec.checkpoint_s > 0 ? e.job->spec.save_s + 1 : 0);
                 ++moved_;
                 --moves;
                 break;
--- /dev/null
+++ b/src/records.cpp
@@ -0,0 +1,432 @@
+// What the store holds of the core's state: read whole at a takeover, written a little each round.
+#include "heronshift/core.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace heronshift {
+namespace {
+
+constexpr std::size_t first_slots = 32; // the ring grows when its records fill up
+constexpr std::size_t progress_records = 16;
+constexpr std::size_t most_txn_bytes = 48 * 1024; // of 64 KiB
+constexpr double fewest_writes = 5;               // saved up before a transaction, its own count included
+constexpr double record_share = 0.75;             // of the longest value, the rest is for names and quoting
+
+const char* word_of(bool done) {
+    return done ? codec::status_done.data() : codec::status_cancelled.data();
+}
+
+std::string slot_key(std::size_t slot) {
+    return fmt::format("i/{}", slot);
+}
+std::string bucket_key(std::size_t bucket) {
+    return fmt::format("p/{}", bucket);
+}
+
+// The number behind a prefix, or nothing.
+std::optional<std::size_t> number_of(const std::string& key) {
+    std::size_t n = 0;
+    const auto* end = key.data() + key.size();
+    const auto [p, ec] = std::from_chars(key.data() + 2, end, n);
+    if (key.size() < 3 || ec != std::errc() || p != end || n > 100'000) return {};
+    return n;
+}
+
+} // namespace
+
+// FNV-1a: every holder must find a job in the same record.
+std::size_t Core::bucket_of(const std::string& id) {
+    std::uint64_t h = 14695981039346656037U;
+    for (const char c : id) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211U;
+    return h % progress_records;
+}
+
+// One transaction being put together, most urgent first.
+struct Core::Draft {
+    Commit commit;
+    std::size_t most = 0, bytes = 0;
+    [[nodiscard]] bool full(std::size_t more) const {
+        return commit.writes.size() + more > most || bytes > most_txn_bytes;
+    }
+    void add(std::string key, std::optional<codec::Json> value, std::size_t size) {
+        bytes += size + 100;
+        commit.writes.push_back({std::move(key), std::move(value), 0});
+    }
+};
+
+void Core::load(const Snapshot& stored, double wall) {
+    ring_.resize(first_slots);
+    buckets_.resize(progress_records);
+    for (const auto& i : stored.jobs) {
+        if (!i.value.is_object()) continue;
+        if (!i.value.contains("spec")) continue;
+        auto spec = codec::spec_from_store(i.value["spec"]);
+        if (!spec) continue;
+        const auto id = spec->id;
+        JobStored c{std::move(*spec), std::max(0.0, wall - i.value.value("at", wall))};
+        handle(c);
+        const auto f = i.value.value("final", std::string());
+        if (auto* j = find_job(id); j != nullptr && !f.empty()) {
+            j->final = f == codec::status_done ? Final::done : Final::cancelled;
+            j->final_stored = true;
+        }
+    }
+    for (const auto& i : stored.progress) {
+        const auto n = number_of(i.key);
+        if (!n || *n >= progress_records) gone_records_.push_back(i.key);
+        if (!i.value.is_object()) continue;
+        for (const auto& [id, ranges] : i.value.items())
+            if (auto* j = find_job(id); j != nullptr && ranges.is_string()) load_done(*j, ranges.get<std::string>());
+    }
+    for (const auto& i : stored.intents) {
+        const auto n = number_of(i.key);
+        const bool text = i.value.is_object() && i.value.contains("t") && i.value["t"].is_string();
+        intents::Read r;
+        if (text)
+            r = intents::read(i.value["t"].get_ref<const std::string&>());
+        else
+            r.damaged = true;
+        if (n && *n >= ring_.size()) ring_.resize(*n + 1);
+        for (const auto& x : r.intents) load_intent(x, n ? static_cast<int>(*n) : -1);
+        for (const auto& m : r.unproven) hold_unproven(m);
+        if (r.damaged) hold_unproven("");
+        if (n)
+            ring_[*n].stale += 1; // written again before long, whatever it named
+        else
+            gone_records_.push_back(i.key);
+    }
+    load_earlier(stored);
+    for (auto& [id, j] : jobs_) {
+        if (j->spec.shape == Shape::gang && j->live > 0) {
+            for (const auto* e : j->entries) j->gang_try = std::max(j->gang_try, e->try_no);
+            if (j->live < j->spec.tasks - j->done) break_gang(*j);
+        }
+        if (j->final == Final::none && j->done == j->spec.tasks) finalize(*j, Final::done);
+        if (j->final == Final::none) continue;
+        for (auto* e : j->entries) stop_entry(*e, 0);
+        if (j->live == 0 && !j->final_queued) {
+            j->final_queued = true;
+            finals_.push_back(j.get());
+        }
+    }
+    dirty_ = true;
+}
+
+void Core::load_done(Job& j, std::string_view ranges) {
+    intents::each_in_ranges(ranges, [&](std::uint32_t k) {
+        if (k >= j.tasks.size() || j.tasks[k].done) return;
+        j.tasks[k].done = j.tasks[k].stored = true;
+        ++j.done;
+        j.had_success = true; // else a faulty machine is told from a bad job too late
+    });
+}
+
+void Core::load_intent(const intents::Intent& i, int slot) {
+    auto* j = find_job(i.job);
+    // The record of a job goes only when none of its tasks is left anywhere.
+    if (j == nullptr || i.index >= j->tasks.size()) return;
+    auto& m = learn_machine(i.machine, "", "", i.zone, false);
+    m.tenure = std::max(m.tenure, i.tenure);
+    // Whoever was entitled before us may have answered this machine until the moment we took
+    // office, so its lease counts from there.
+    m.last_seen = now_;
+    m.status = Status::up;
+    for (const auto& e : m.entries)
+        if (e->job == j && e->index == i.index && e->try_no == i.try_no) return;
+    auto& e = add_entry(m, *j, i.index, i.try_no);
+    e.phase = Phase::sent;
+    e.recorded = slot >= 0;
+    // Only a report that has seen our own term proves anything: one from before the launch
+    // may arrive late, and we have no count of this machine's to tell.
+    e.fence = (term_ << fence_bits) - 1;
+    e.tenure = i.tenure;
+    leave_slot(e);
+    put_in_slot(e, slot);
+}
+
+// A record that cannot be read may have named any task there was. The machine's own word under our
+// term, or its lapsed lease, ends the doubt; where not even its name is known, only time does.
+void Core::hold_unproven(const std::string& machine) {
+    note(2, fmt::format("a damaged record{}{}", machine.empty() ? "" : " of machine ", machine));
+    unproven_until_ = now_ + lease_surely_s();
+    unproven_.insert(machine);
+    if (machine.empty()) return;
+    auto& m = learn_machine(machine, "", "", "", false);
+    m.last_seen = now_;
+    m.status = Status::up;
+}
+
+// The layout before this one: "m/ID" named what is on a machine, "d/ID" what is done of a job.
+void Core::load_earlier(const Snapshot& stored) {
+    for (const auto& i : stored.earlier) {
+        gone_records_.push_back(i.key);
+        const auto id = i.key.substr(2);
+        const auto& v = i.value;
+        if (i.key.starts_with("d/")) {
+            auto* j = find_job(id);
+            if (j == nullptr || !v.is_object()) continue;
+            load_done(*j, v.value("done", std::string()));
+            const auto f = v.value("final", std::string());
+            if (f.empty()) continue;
+            j->final = f == codec::status_done ? Final::done : Final::cancelled;
+            j->final_stored = true;
+            continue;
+        }
+        bool good = v.is_object() && v.contains("tasks") && v["tasks"].is_array();
+        const auto text = [&](const char* name) {
+            return good && v.contains(name) && v[name].is_string() ? v[name].get<std::string>() : std::string();
+        };
+        const auto number = [&](const char* name) {
+            return good && v.contains(name) && v[name].is_number_integer() ? v[name].get<std::uint64_t>() : 0;
+        };
+        if (good)
+            for (const auto& e : v["tasks"]) {
+                const auto line =
+                    e.is_string() ? fmt::format("{} {} {} {}", id, text("yard"), number("tenure"), e.get<std::string>())
+                                  : std::string();
+                const auto r = intents::read(line);
+                good = good && r.intents.size() == 1;
+                for (const auto& x : r.intents) load_intent(x, -1);
+            }
+        if (!good) hold_unproven(id);
+    }
+}
+
+void Core::put_in_slot(Entry& e, int slot) {
+    auto& list = slot < 0 ? unrecorded_ : ring_[static_cast<std::size_t>(slot)].entries;
+    e.slot = slot;
+    e.at_slot = list.size();
+    list.push_back(&e);
+}
+
+void Core::leave_slot(Entry& e) {
+    auto& list = e.slot < 0 ? unrecorded_ : ring_[static_cast<std::size_t>(e.slot)].entries;
+    list[e.at_slot] = list.back();
+    list[e.at_slot]->at_slot = e.at_slot;
+    list.pop_back();
+}
+
+// A final state is told only once it is stored. The job's record goes when none of its tasks is
+// left on any machine; until then it names the final state, so that no later holder starts any.
+void Core::draft_finals(Draft& d) {
+    auto& f = in_flight_;
+    const std::size_t keep = unrecorded_.empty() ? 0 : 1; // placements must not starve
+    while (!finals_.empty() && !d.full(2 + keep)) {
+        auto* j = finals_.front();
+        finals_.pop_front();
+        j->final_queued = false;
+        const auto* status = word_of(j->final == Final::done);
+        if (!j->final_stored) d.add("f/" + j->spec.id, codec::Json{{"s", status}}, 20);
+        if (j->live == 0) {
+            d.add("j/" + j->spec.id, std::nullopt, 0);
+            f.moves.emplace_back(j, j->final);
+        } else if (!j->final_stored) {
+            d.add("j/" + j->spec.id,
+                  codec::Json{
+                      {"spec", codec::to_json(j->spec)}, {"at", wall_ - (now_ - j->submitted)}, {"final", status}},
+                  600);
+            f.finals.emplace_back(j, j->final);
+        }
+    }
+}
+
+std::string Core::slot_text(std::vector<Entry*> list) {
+    std::sort(list.begin(), list.end(), [](const Entry* a, const Entry* b) {
+        if (a->machine != b->machine) return a->machine->id < b->machine->id;
+        if (a->tenure != b->tenure) return a->tenure < b->tenure;
+        if (a->job != b->job) return a->job->spec.id < b->job->spec.id;
+        if (a->try_no != b->try_no) return a->try_no < b->try_no;
+        return a->index < b->index;
+    });
+    intents::Writer w;
+    for (const auto* e : list)
+        w.add(e->machine->id, e->machine->zone_name, e->tenure, e->job->spec.id, e->index, e->try_no);
+    return w.take();
+}
+
+// Writes one record of the ring: what is still live of it and, room permitting, new placements.
+void Core::draft_slot(Draft& d, std::size_t slot) {
+    auto& list = ring_[slot].entries;
+    if (!unrecorded_.empty()) {
+        const auto most = static_cast<std::size_t>(s_.value_kb * 1024 * record_share);
+        auto size = slot_text(list).size();
+        while (!unrecorded_.empty()) {
+            auto* e = unrecorded_.back();
+            // At most a line of its own: names, a tenure, an index and an attempt.
+            size += e->machine->id.size() + e->machine->zone_name.size() + e->job->spec.id.size() + 40;
+            if (size > most) break;
+            leave_slot(*e);
+            put_in_slot(*e, static_cast<int>(slot));
+            if (e->phase == Phase::intent) e->phase = Phase::storing;
+        }
+    }
+    auto text = slot_text(list);
+    const auto size = text.size();
+    d.add(slot_key(slot), codec::Json{{"t", std::move(text)}}, size);
+    ring_[slot].stale = 0;
+    ring_[slot].size = size;
+    in_flight_.slots.push_back(slot);
+}
+
+void Core::draft_intents(Draft& d) {
+    const auto most = static_cast<std::size_t>(s_.value_kb * 1024 * record_share);
+    auto advance = [&] { next_slot_ = (next_slot_ + 1) % ring_.size(); };
+    for (std::size_t n = 0; !unrecorded_.empty() && !d.full(1) && n < first_slots; ++n, advance()) {
+        const auto& slot = ring_[next_slot_];
+        if (slot.size <= most / 2 || slot.stale > slot.entries.size()) {
+            draft_slot(d, next_slot_);
+        } else {
+            // Carrying so much on would leave too little room: the ring grows instead.
+            ring_.emplace_back();
+            draft_slot(d, ring_.size() - 1);
+        }
+    }
+    // Records that name what is long gone would keep its place after a takeover.
+    if (!unrecorded_.empty() || now_ < next_idle_write_ || d.full(static_cast<std::size_t>(s_.txn_ops) / 2)) return;
+    for (std::size_t n = 0; n < ring_.size(); ++n, advance()) {
+        if (ring_[next_slot_].stale == 0) continue;
+        next_idle_write_ = now_ + s_.report_s / 10;
+        draft_slot(d, next_slot_);
+        advance();
+        return;
+    }
+}
+
+// Progress gathers for a while: losing it costs only an image fetch, since a finished task that is
+// started again ends at once.
+void Core::draft_progress(Draft& d) {
+    for (std::size_t b = 0; b < buckets_.size() && !d.full(1); ++b) {
+        if (!buckets_[b].dirty || now_ - buckets_[b].since < s_.report_s) continue;
+        std::vector<Job*> jobs;
+        for (auto& [id, j] : jobs_)
+            if (j->bucket == b && j->final == Final::none && j->done > 0) jobs.push_back(j.get());
+        const auto most =
+            static_cast<std::size_t>(s_.value_kb * 1024 * record_share) / std::max<std::size_t>(1, jobs.size());
+        auto value = codec::Json::object();
+        std::size_t size = 0;
+        for (auto* j : jobs) {
+            std::vector<bool> bits(j->tasks.size());
+            for (std::size_t i = 0; i < bits.size(); ++i) bits[i] = j->tasks[i].done;
+            auto text = intents::ranges_of(bits, most > j->spec.id.size() + 6 ? most - j->spec.id.size() - 6 : 0);
+            size += text.size() + j->spec.id.size() + 6;
+            value[j->spec.id] = std::move(text);
+            if (j->unstored.empty()) continue;
+            in_flight_.progress.emplace_back(j, std::move(j->unstored));
+            j->unstored.clear();
+        }
+        d.add(bucket_key(b), std::move(value), size);
+        in_flight_.buckets.push_back(b);
+        buckets_[b].dirty = false;
+    }
+}
+
+// One transaction is in flight at a time; this builds the next of what is due, most urgent first.
+void Core::collect_commit() {
+    if (txn_open_ || stepped_down_) return;
+    // The holder's part of the write budget; the rest is left to submissions on all nodes.
+    const double rate = s_.state_write_rps * 0.7;
+    const double most_saved = std::max(s_.state_write_rps * 0.5, 4.0);
+    write_tokens_ = std::min(write_tokens_ + (now_ - tokens_at_) * rate, most_saved);
+    tokens_at_ = now_;
+    // A few writes are saved up first: placements alone would spend each as it comes, and final
+    // states would never find the two or three they need together.
+    if (write_tokens_ < std::min(fewest_writes, most_saved)) return;
+    Draft d;
+    d.most = std::min(static_cast<std::size_t>(s_.txn_ops), static_cast<std::size_t>(write_tokens_)) - 1;
+    in_flight_ = {};
+    draft_finals(d);
+    draft_intents(d);
+    while (!gone_records_.empty() && !d.full(1)) {
+        d.add(gone_records_.front(), std::nullopt, 0);
+        in_flight_.gone.push_back(std::move(gone_records_.front()));
+        gone_records_.pop_front();
+    }
+    draft_progress(d);
+    if (d.commit.writes.empty()) return;
+    txn_open_ = true;
+    write_tokens_ -= static_cast<double>(d.commit.writes.size()) + 1;
+    effects_.push_back(std::move(d.commit));
+}
+
+void Core::handle(Committed& c) {
+    txn_open_ = false;
+    auto f = std::move(in_flight_);
+    in_flight_ = {};
+    if (c.outcome == TxnOutcome::office_lost) {
+        stepped_down_ = true;
+        return;
+    }
+    const bool ok = c.outcome == TxnOutcome::applied;
+    if (ok) ++committed_;
+    auto answer = [&](Job& j) {
+        for (const auto h : j.cancels) effects_.push_back(CancelAnswer{h, word_of(j.final == Final::done)});
+        j.cancels.clear();
+    };
+    auto again = [&](Job& j) {
+        if (j.final_queued) return;
+        j.final_queued = true;
+        finals_.push_back(&j);
+    };
+    for (auto& [j, final] : f.finals) {
+        if (!ok) {
+            again(*j);
+            continue;
+        }
+        j->final_stored = true;
+        answer(*j);
+        if (j->live == 0) again(*j);
+    }
+    for (auto& [j, list] : f.progress) {
+        if (ok)
+            for (const auto i : list) j->tasks[i].stored = true;
+        else
+            j->unstored.insert(j->unstored.end(), list.begin(), list.end());
+    }
+    if (!ok)
+        for (const auto b : f.buckets) buckets_[b].dirty = true;
+    for (const auto s : f.slots) {
+        const auto list = ring_[s].entries;
+        for (auto* e : list) {
+            if (ok) {
+                e->recorded = true;
+            } else if (!e->recorded) {
+                leave_slot(*e);
+                put_in_slot(*e, -1);
+            }
+            if (e->phase != Phase::storing) continue;
+            e->phase = ok ? Phase::stored : Phase::intent;
+            if (ok) want_orders(*e->machine);
+        }
+        if (!ok) ++ring_[s].stale;
+    }
+    if (!ok)
+        for (auto& key : f.gone) gone_records_.push_back(std::move(key));
+    for (auto& [j, final] : f.moves) {
+        if (!ok) {
+            again(*j);
+            continue;
+        }
+        j->final_stored = true;
+        answer(*j);
+        drop_job(*j);
+    }
+}
+
+// The store keeps the final state; memory only holds what is alive.
+void Core::drop_job(Job& j) {
+    if (recent_.emplace(j.spec.id, j.final).second) {
+        recent_order_.push_back(j.spec.id);
+        if (recent_order_.size() > 5000) {
+            recent_.erase(recent_order_.front());
+            recent_order_.pop_front();
+        }
+    }
+    if (j.live > 0) return; // something showed up meanwhile: it is stopped first
+    if (j.team >= 0) std::erase(teams_[static_cast<std::size_t>(j.team)].jobs, &j);
+    std::erase(finals_, &j);
+    jobs_.erase(std::string(j.spec.id));
+}
+
+} // namespace heronshift
--- /dev/null
+++ b/tests/test_records.cpp
@@ -0,0 +1,165 @@
+// Stories of what the store holds: the ring of placements, the progress, and what came before them.
+#include "world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift::testing {
+namespace {
+
+TEST(Records, PlacementsComeBackAsTheyWereWritten) {
+    const std::vector<intents::Intent> in{{"n-1", "a", 1, "wk-000001", 3, 70}, {"n-1", "a", 1, "wk-000001", 4, 70},
+                                          {"n-1", "a", 1, "wk-000001", 5, 71}, {"n-1", "a", 2, "wk-000002", 0, 71},
+                                          {"n-2", "", 1, "wk-000002", 1, 71},  {"n-2", "", 1, "wk-000002", 3, 71}};
+    intents::Writer w;
+    for (const auto& i : in) w.add(i.machine, i.zone, i.tenure, i.job, i.index, i.try_no);
+    const auto text = w.take();
+    EXPECT_EQ(text, "n-1 a 1 wk-000001/3-4:70 wk-000001/5:71\nn-1 a 2 wk-000002/0:71\n"
+                    "n-2 - 1 wk-000002/1:71 wk-000002/3:71");
+    const auto r = intents::read(text);
+    EXPECT_EQ(r.intents, in);
+    EXPECT_TRUE(r.unproven.empty());
+}
+
+// Every prefix of a record, and every single wrong byte, is read without a crash; what is lost of
+// it leaves its machine in doubt.
+TEST(Records, DamagedTextIsReadAsFarAsItCanBeProven) {
+    const std::string text = "n-1 a 1 wk-000001/3-4:70\nn-2 b 1 wk-000002/0:71";
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        (void)intents::read(text.substr(0, n));
+        for (const char c : {' ', '\n', ':', '-', '/', '9', 'x', '\0'}) {
+            auto wrong = text;
+            wrong[n] = c;
+            (void)intents::read(wrong);
+        }
+    }
+    const auto r = intents::read("n-1 a 1 wk-000001/3:70\nn-2 b 1 wk-0000\n n 1");
+    EXPECT_EQ(r.intents.size(), 1U);
+    EXPECT_EQ(r.unproven, std::vector<std::string>{"n-2"});
+    EXPECT_TRUE(r.damaged);
+    EXPECT_EQ(intents::read("n-1 a 1 wk-1/5-999999999:1").unproven.size(), 1U);
+    std::uint32_t seen = 0;
+    intents::each_in_ranges("0-2,5,9-", [&](std::uint32_t) { ++seen; });
+    EXPECT_EQ(seen, 4U);
+}
+
+Snapshot one_job(const JobSpec& spec) {
+    Snapshot s;
+    s.jobs.push_back({"j/" + spec.id, {{"spec", codec::to_json(spec)}, {"at", 0.0}}, 1, false});
+    return s;
+}
+
+std::vector<Effect> step(Core& core, double now, std::vector<Command> q) {
+    return core.step(q, now, now);
+}
+
+Report beat(const std::string& id, std::uint64_t counter, std::uint64_t fence) {
+    return {id, "10.1.0.1:9000", "m8", "a", false, 1, counter, fence, -1, {}};
+}
+
+// A core whose store always answers; counts the launches it sends.
+struct Launches {
+    Core& core;
+    double now = 0.1;
+    bool stored = false;
+
+    int give(std::vector<Command> q) {
+        if (stored) q.insert(q.begin(), Committed{});
+        stored = false;
+        int n = 0;
+        for (const auto& e : step(core, now, std::move(q))) {
+            stored = stored || std::holds_alternative<Commit>(e);
+            if (const auto* o = std::get_if<SendOrders>(&e))
+                for (const auto& x : o->orders) n += x.verb == Verb::launch;
+        }
+        now += 0.05;
+        return n;
+    }
+    int within(double seconds) {
+        int n = 0;
+        for (const double end = now + seconds; now < end;) n += give({});
+        return n;
+    }
+};
+
+// What a damaged record named may run anywhere on its machine: until that machine has spoken to us
+// or its lease has surely lapsed, nothing is placed at all.
+TEST(Records, ADamagedRecordHoldsItsMachineUntilItIsProven) {
+    const auto settings = small_settings();
+    auto stored = one_job(job(1, Shape::array, 2, 1));
+    stored.intents.push_back({"i/0", {{"t", "n-9 a 1 wk-00"}}, 1, false});
+    Core core(settings, 7, stored, 0, 0);
+    Launches l{core};
+    l.give({TypesKnown{small_types()}, Beat{beat("n-1", 1, 0), 1}});
+    EXPECT_EQ(l.within(2), 0);
+    l.give({Beat{beat("n-9", 1, 0), 2}}); // has not seen our term: proves nothing
+    EXPECT_EQ(l.within(0.5), 0);
+    l.give({Beat{beat("n-9", 2, std::uint64_t{7} << fence_bits), 3}, Beat{beat("n-1", 2, 0), 4}});
+    EXPECT_EQ(l.within(2), 2);
+}
+
+TEST(Records, TheEarlierLayoutIsReadAndRemoved) {
+    const auto settings = small_settings();
+    auto stored = one_job(job(1, Shape::array, 4, 1));
+    stored.earlier.push_back({"m/n-1",
+                              {{"addr", "10.1.0.1:9000"},
+                               {"flavor", "m8"},
+                               {"yard", "a"},
+                               {"standby", false},
+                               {"tenure", 1},
+                               {"tasks", {"wk-000001/2:5"}}},
+                              1,
+                              false});
+    stored.earlier.push_back({"d/wk-000001", {{"done", "0-1"}}, 1, false});
+    Core core(settings, 7, stored, 0, 0);
+    EXPECT_EQ(core.live_tasks("wk-000001"), 1U);
+    EXPECT_EQ(core.view("wk-000001")->done, 2U);
+    std::set<std::string> deleted;
+    for (const auto& e : step(core, 0.5, {}))
+        if (const auto* c = std::get_if<Commit>(&e))
+            for (const auto& w : c->writes) {
+                if (!w.value) {
+                    deleted.insert(w.key);
+                } else if (w.key.starts_with("i/")) {
+                    EXPECT_EQ((*w.value)["t"], "n-1 a 1 wk-000001/2:5");
+                }
+            }
+    EXPECT_EQ(deleted, (std::set<std::string>{"m/n-1", "d/wk-000001"}));
+}
+
+// Two thousand launches: each record stays below the longest value, a transaction below its limits,
+// and what a later holder reads names all of them.
+TEST(Records, ABurstOfPlacementsCostsAFewWrites) {
+    World w(11);
+    w.settings.teams = {{"red", 1e5, 1e6, 0, 0}};
+    w.settings.state_write_rps = 35;
+    w.settings.txn_ops = 16;
+    w.settings.fd_limit = 4000;
+    w.capacity = 300;
+    w.take_office();
+    for (int i = 1; i <= 20; ++i) w.submit(job(i, Shape::service, 100, 1));
+    std::size_t writes = 0;
+    w.on_commit = [&](const std::vector<codec::Write>& list) {
+        std::size_t bytes = 0;
+        EXPECT_LE(list.size(), 15U);
+        for (const auto& x : list) {
+            const auto size = x.value ? x.value->dump().size() : 0;
+            EXPECT_LE(size, 16U * 1024);
+            bytes += size + 120;
+            writes += x.key.starts_with("i/");
+        }
+        EXPECT_LE(bytes, 62U * 1024);
+    };
+    w.run(60);
+    EXPECT_TRUE(w.broken.empty());
+    std::size_t live = 0;
+    for (int i = 1; i <= 20; ++i) live += w.core->live_tasks(fmt::format("wk-{:06}", i));
+    EXPECT_EQ(live, 2000U);
+    EXPECT_LT(writes, 500U);
+    w.take_office();
+    std::size_t known = 0;
+    for (int i = 1; i <= 20; ++i) known += w.core->live_tasks(fmt::format("wk-{:06}", i));
+    EXPECT_EQ(known, 2000U);
+}
+
+} // namespace
+} // namespace heronshift::testing
