Promises through store outages, machines asked at a takeover, no commands past validity

Now all other controllers may promise to wait while their own reads fail too, which carries the holder on; a holder past its validity commands nobody and drops what it had asked of the cloud; a new holder asks all machines at once what they run. With that the hold is shorter. Ruled out: reading the store at a takeover (60 ms).

--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -118,7 +118,9 @@
 public:
     Core(const Settings& settings, std::uint64_t term, const Snapshot& stored, double now, double wall);
 
-    std::vector<Effect> step(std::vector<Command>& commands, double now, double wall);
+    // entitled: this node may act as holder at this moment. While it may not, it refuses its workers
+    // and leaves all else among the commands until it may again.
+    std::vector<Effect> step(std::vector<Command>& commands, double now, double wall, bool entitled = true);
     // When step() wants to be called even if no command comes.
     [[nodiscard]] double wake_at() const {
         return wake_at_;
@@ -196,7 +198,9 @@
         bool spot = false;
         Status status = Status::booting;
         std::uint64_t tenure = 0, counter = 0, fence = 0;
-        double last_seen = -1, known_since = 0, up_since = -1;
+        double last_seen = -1; // the last report answered: its lease counts from there
+        double heard = -1;     // the last sign of life
+        double known_since = 0, up_since = -1;
         std::vector<std::unique_ptr<Entry>> entries;
         Resources used, whole;
         bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
@@ -206,6 +210,7 @@
         std::vector<CachedImage> images; // cached as far as known
         std::set<std::string> failed_jobs;
         std::uint64_t batch = 0; // in flight, 0: none
+        bool asked = false;      // it is a question, without orders
         bool wants_orders = false;
         const void* reserved_for = nullptr; // room is being made for this job; only compared
         Rank reserved_rank = Rank::low;
@@ -266,6 +271,7 @@
         return !unproven_.empty() && now_ < unproven_until_;
     }
     void dispatch(Machine& m);
+    void ask_machines();
     std::vector<Order> standing_orders(Machine& m);
     void note(int level, std::string text) {
         effects_.push_back(Note{level, std::move(text)});
@@ -356,6 +362,9 @@
         std::vector<std::string> gone;
     } in_flight_;
     std::vector<Machine*> to_dispatch_;
+    std::deque<std::string> to_ask_; // machines asked for a report after a takeover
+    std::size_t asking_ = 0;
+    bool asked_all_ = false;
     std::uint64_t report_seq_ = 0;
     std::unordered_map<std::string, int> image_ids_;
     std::vector<double> image_gb_;
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -3,6 +3,7 @@
 
 #include "heronshift/core.hpp"
 #include "heronshift/http.hpp"
+#include "heronshift/tenancy.hpp"
 
 #include <map>
 #include <memory>
@@ -47,9 +48,10 @@
               std::function<void()> next);
     void take_office();
     void renew();
+    void asked_to_promise(const HttpRequest& r, const Responder& res);
     void step_down(const std::string& why);
     [[nodiscard]] bool valid() const {
-        return office_ == Office::held && now() < valid_until_;
+        return office_ == Office::held && tenancy_.valid(now());
     }
     void follow_jobs();
     void commit(Commit c, int tries);
@@ -102,7 +104,9 @@
     Office office_ = Office::standby;
     std::string holder_;
     std::uint64_t hold_ = 0, term_ = 0, office_stamp_ = 0, round_stamp_ = 0, round_seq_ = 0, follow_epoch_ = 0;
-    double ttl_s_, valid_until_ = 0, renew_sent_ = 0, next_renew_ = 0, hold_sent_ = 0;
+    Tenancy tenancy_;
+    bool carried_ = false; // by promises, said once a term
+    double next_renew_ = 0, hold_sent_ = 0;
     std::uint64_t generation_ = 0; // of the time in office: late answers of an earlier one are dropped
     Snapshot snapshot_;
     int loads_left_ = 0;
--- /dev/null
+++ b/include/heronshift/tenancy.hpp
@@ -0,0 +1,52 @@
+// How long a node may act as holder of the office, and when it may take it. No I/O and no clock.
+//
+// The store's hold gives validity that counts from when its renewal was sent. While the store
+// answers nobody, the promises of all other controllers carry the holder on: each promises not to
+// take the office for a while, and only when a read of its own has just failed, since a peer that
+// the store serves shows that it is the holder that is cut off. See docs/safety.md, "Outages".
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace heronshift {
+
+class Tenancy {
+public:
+    // The hold's length, how many other controllers there are, and when this process started.
+    Tenancy(double ttl_s, std::size_t peers, double now);
+
+    [[nodiscard]] double ttl_s() const { return ttl_s_; }
+    [[nodiscard]] double promise_s() const { return ttl_s_ / 2; }
+
+    // As holder.
+    void begin() { hold_until_ = promised_until_ = 0, promises_.clear(); }
+    void hold_extended(double sent);                                   // the store has said so
+    bool promised(const std::string& peer, double sent, double now); // true: all carry us on
+    [[nodiscard]] bool valid(double now) const { return now < until(); }
+    [[nodiscard]] double until() const { return hold_until_ > promised_until_ ? hold_until_ : promised_until_; }
+    // Promises are asked for while the hold is not being renewed.
+    [[nodiscard]] bool wants_promises(double now) const;
+
+    // As one of the others.
+    [[nodiscard]] bool may_take(double now) const { return now >= not_before_; }
+    [[nodiscard]] double not_before() const { return not_before_; }
+    // The office stood under our own name: its process, which this node was, has ended.
+    void found_own_name() { not_before_ = 0; }
+    // The outcome of an attempt to take it is open: it may still be applied while its hold lives.
+    void attempt_unresolved() { doubt_ = true, served_since_ = -1; }
+    // A read by this node; after some time without a failure, no hold of an attempt can be left.
+    void store_read(bool ok, double now);
+    // Gives the promise if it may be given; store_failed: a read made for it has just failed.
+    bool promise(double length_s, double now, bool standby, bool store_failed);
+
+private:
+    double ttl_s_;
+    std::size_t peers_;
+    double hold_until_ = 0, renewed_ = 0, promised_until_ = 0;
+    std::map<std::string, double> promises_;
+    double not_before_, served_since_ = -1;
+    bool doubt_ = true; // the process before may have left an attempt under way
+};
+
+} // namespace heronshift
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -7,9 +7,9 @@
 namespace heronshift {
 namespace {
 
-// Steady clocks drift apart by up to 0.05%; four times that, and some for timer steps.
-constexpr double drift = 1.002;
-constexpr double lapse_margin_reports = 0.2; // of report_s
+// Steady clocks drift apart by up to 0.05%; twice that, and some for timer steps.
+constexpr double drift = 1.001;
+constexpr double lapse_margin_reports = 0.05; // of report_s
 constexpr std::size_t most_orders = 200;     // to a machine at once
 
 } // namespace
@@ -67,14 +67,25 @@
     return *slot;
 }
 
-std::vector<Effect> Core::step(std::vector<Command>& commands, double now, double wall) {
+std::vector<Effect> Core::step(std::vector<Command>& commands, double now, double wall, bool entitled) {
     now_ = now;
     wall_ = wall;
     effects_.clear();
+    if (!entitled) {
+        // From a day on which a cut-off holder took the machines outside its zone for lost and gave
+        // them back the moment the cut ended, with all that ran there under its successor.
+        std::erase_if(commands, [this](const Command& c) {
+            const auto* b = std::get_if<Beat>(&c);
+            if (b != nullptr) effects_.push_back(BeatAnswer{b->handle, 503, 0, {}});
+            return b != nullptr;
+        });
+        wake_at_ = now_ + s_.report_s / 10;
+        return std::move(effects_);
+    }
     for (auto& c : commands) std::visit([this](auto& x) { handle(x); }, c);
     commands.clear();
     if (now_ >= next_tick_) {
-        next_tick_ = now_ + s_.report_s / 10;
+        next_tick_ = now_ + s_.report_s / 20;
         lapse_machines();
         drain_noticed();
         dirty_ = true;
@@ -102,6 +113,7 @@
         m->wants_orders = false;
         if (m->batch == 0) dispatch(*m); // else once the answer is in
     }
+    ask_machines();
     wake_at_ = next_tick_;
     if (!txn_open_ && (!finals_.empty() || !unrecorded_.empty()))
         wake_at_ = std::min(wake_at_, now_ + 1 / s_.state_write_rps); // as soon as the budget allows
@@ -222,6 +234,7 @@
 void Core::forget_machine(const std::string& id) {
     const auto it = machines_.find(id);
     if (it == machines_.end()) return;
+    if (it->second->asked) --asking_;
     std::erase(to_dispatch_, it->second.get());
     machines_.erase(it);
 }
@@ -435,7 +448,9 @@
         m.failed_jobs.clear();
     }
     m.counter = r.counter;
+    m.heard = now_;
     if (m.status != Status::up) {
+        m.last_seen = std::max(m.last_seen, now_); // it may report to nobody yet
         m.status = Status::up;
         if (m.up_since < 0) m.up_since = now_;
         if (m.entries.empty()) m.empty_since = now_;
@@ -564,10 +579,33 @@
     effects_.push_back(std::move(o));
 }
 
+// After a takeover workers find us one by one as their reports to others fail. Asked directly they
+// tell at once what they run, and having seen our term they prove what they do not run.
+void Core::ask_machines() {
+    constexpr std::size_t at_once = 40;
+    while (!to_ask_.empty() && asking_ < at_once) {
+        auto* m = find_machine(to_ask_.front());
+        to_ask_.pop_front();
+        if (m == nullptr || m->heard >= 0 || m->batch != 0 || m->addr.empty()) continue;
+        ++asking_;
+        m->asked = true;
+        m->batch = ++batch_seq_;
+        effects_.push_back(SendOrders{m->id, m->addr, m->batch, m->fence, std::max<std::uint64_t>(1, m->tenure), {}});
+    }
+}
+
 void Core::handle(OrdersAnswered& c) {
     auto* m = find_machine(c.machine);
     if (m == nullptr || m->batch != c.batch) return;
     m->batch = 0;
+    if (m->asked) {
+        m->asked = false;
+        --asking_;
+        std::vector<Order> reaps;
+        if (c.report) apply_report(*m, *c.report, reaps);
+        want_orders(*m);
+        return;
+    }
     want_orders(*m);
     const auto fence = m->fence;
     auto outstanding = [&](const std::unique_ptr<Entry>& e) {
@@ -678,7 +716,9 @@
             m.status = Status::lost;
             m.bad = true;
         }
+        if (!asked_all_ && l.status == "running") to_ask_.push_back(l.id);
     }
+    asked_all_ = true;
     dirty_ = true;
 }
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -36,10 +36,8 @@
       // What a user's read may take when this node is alone with the store.
       store_budget_(s_.state_rps / 4, s_.state_rps / 6), submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
       cloud_budget_(s_.cloud_rps * 0.8, std::max(1.0, s_.cloud_rps)),
-      // Together with the workers' leases, which are up to 1.25 reports old, the hold outlasts an
-      // outage of the store of six reports; beyond that it is short, so that others take over soon.
-      ttl_s_(
-          std::clamp(7.25 * s_.report_s - s_.lease_s, std::min(1.25 * s_.report_s, s_.lease_s / 2), s_.lease_s / 2)) {}
+      // Short, so that others take over soon: outages of the store are bridged by promises.
+      tenancy_(std::min(s_.report_s, s_.lease_s / 5), s_.peers.size(), now()) {}
 
 Node::~Node() = default;
 
@@ -93,7 +91,7 @@
 void Node::arm() {
     double at = now() + 1;
     for (const auto& l : later_) at = std::min(at, l.at);
-    if (core_) at = queue_.empty() ? std::min(at, core_->wake_at()) : 0;
+    if (core_) at = queue_.empty() || !valid() ? std::min(at, core_->wake_at()) : 0;
     const double in = std::max(0.0, at - now());
     uv_timer_start(
         &wake_,
@@ -151,11 +149,12 @@
 void Node::run_core() {
     if (!core_ || office_ != Office::held || running_core_) return;
     const double t = now();
-    if (queue_.empty() && t < core_->wake_at()) return;
+    if ((queue_.empty() || !valid()) && t < core_->wake_at()) return;
     running_core_ = true;
     std::vector<Command> batch;
     batch.swap(queue_);
-    auto effects = core_->step(batch, t, wall());
+    auto effects = core_->step(batch, t, wall(), valid());
+    queue_.insert(queue_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
     const auto gen = generation_;
     for (auto& e : effects) {
         if (gen != generation_) break; // stepped down meanwhile
@@ -261,6 +260,9 @@
 }
 
 void Node::cloud_pump() {
+    // What a holder asked for that may no longer act must not reach the cloud later.
+    if (!valid())
+        for (auto gone = std::move(cloud_queue_); !gone.empty(); gone.pop_front()) gone.front().done({});
     while (!cloud_queue_.empty() && cloud_budget_.take(now())) {
         auto c = std::move(cloud_queue_.front());
         cloud_queue_.pop_front();
@@ -344,6 +346,7 @@
 void Node::on_peer(HttpRequest&& r, Responder res) {
     if (!r.path.starts_with(peer_prefix)) return res.send(404, error_body("no such path"));
     r.path.erase(0, std::string_view(peer_prefix).size());
+    if (r.path == "/promise") return asked_to_promise(r, res);
     serve(std::move(r), std::move(res), true);
 }
 
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -10,6 +10,7 @@
 
 constexpr const char* office_key = "office";
 constexpr const char* round_key = "round";
+constexpr const char* peer_promise = "/peer/promise";
 
 std::string read_path(const std::string& key) {
     return std::string(codec::path_store) + "/" + key;
@@ -34,8 +35,10 @@
             if (gen == generation_) watch_office();
         });
     };
+    tenancy_.store_read(r.status == 200 || r.status == 404, now());
     if (r.status == 404) {
         holder_.clear();
+        if (!tenancy_.may_take(now())) return again(std::max(0.01, tenancy_.not_before() - now()));
         acquire();
         return;
     }
@@ -45,6 +48,7 @@
     if (name == s_.name) {
         // We have just started: the process that held the office under our name is dead.
         const auto hold = item->value.value("hold", std::uint64_t{0});
+        tenancy_.found_own_name();
         spdlog::info("the office is held by an earlier process of this node, ending its hold {}", hold);
         store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold), "", s_.report_s / 2,
                       [again](HttpReply&&) { again(0.01); });
@@ -78,7 +82,7 @@
     };
     hold_sent_ = now();
     store_request(
-        "POST", std::string(codec::path_holds), codec::hold_request(ttl_s_), 1, [this, gen, fail](HttpReply&& r) {
+        "POST", std::string(codec::path_holds), codec::hold_request(tenancy_.ttl_s()), 1, [this, gen, fail](HttpReply&& r) {
             if (gen != generation_) return;
             const auto hold = r.status == 200 ? codec::hold_of(r.body) : std::nullopt;
             if (!hold) return fail();
@@ -100,6 +104,7 @@
                                {{office_key, Json{{"node", s_.name}, {"hold", hold_}, {"term", term_}}, hold_},
                                 {round_key, Json{{"term", term_}, {"n", 0}}, 0}});
                 store_request("POST", std::string(codec::path_txn), body, 1, [this, gen, fail](HttpReply&& t) {
+                    if (t.status == 0 && t.sent) tenancy_.attempt_unresolved();
                     if (gen != generation_) return;
                     const auto epoch = t.status == 200 ? codec::epoch_of(t.body) : std::nullopt;
                     if (!epoch) return fail();
@@ -140,8 +145,9 @@
 void Node::take_office() {
     office_ = Office::loading;
     holder_ = s_.name;
-    // Counted from when the hold was asked for, less drift and some for timers.
-    valid_until_ = hold_sent_ + ttl_s_ * 0.998 - 0.1;
+    tenancy_.begin();
+    tenancy_.hold_extended(hold_sent_); // counted from when it was asked for
+    carried_ = false;
     next_renew_ = 0;
     spdlog::info("took office, term {}", term_);
     snapshot_ = {};
@@ -169,16 +175,40 @@
 
 void Node::renew() {
     const auto gen = generation_;
-    const double sent = now();
-    next_renew_ = sent + ttl_s_ / 6;
-    store_request("POST", fmt::format("{}/{}/{}", codec::path_holds, hold_, codec::suffix_extend), "{}", ttl_s_ / 5,
+    const double sent = now(), ttl = tenancy_.ttl_s();
+    next_renew_ = sent + ttl / 6;
+    store_request("POST", fmt::format("{}/{}/{}", codec::path_holds, hold_, codec::suffix_extend), "{}", ttl / 5,
                   [this, gen, sent](HttpReply&& r) {
                       if (gen != generation_) return;
                       if (r.status == 200)
-                          valid_until_ = std::max(valid_until_, sent + ttl_s_ * 0.998 - 0.1);
+                          tenancy_.hold_extended(sent);
                       else if (r.status == 404)
                           step_down("the hold has ended");
                   });
+    if (office_ != Office::held || !tenancy_.wants_promises(sent)) return;
+    const auto body = Json{{"node", s_.name}, {"term", term_}, {"forS", tenancy_.promise_s()}}.dump();
+    for (const auto& p : s_.peers)
+        peer_client_.request(p.addr.str(), "POST", peer_promise, body, ttl / 5,
+                             [this, gen, sent, name = p.name](HttpReply&& r) {
+                                 if (gen != generation_ || r.status != 200) return;
+                                 if (!tenancy_.promised(name, sent, now()) || carried_) return;
+                                 carried_ = true;
+                                 spdlog::info("the store does not answer; all others promise to wait");
+                             });
+}
+
+// A peer that holds the office cannot renew its hold and asks us to leave it alone for a while. A
+// read of our own tells whether it is the store or only that peer.
+void Node::asked_to_promise(const HttpRequest& r, const Responder& res) {
+    const auto j = codec::parse(r.body);
+    const auto length = j.is_object() && j.contains("forS") && j["forS"].is_number() ? j["forS"].get<double>() : -1;
+    if (!(length > 0)) return res.send(400, R"({"error":"forS is needed"})");
+    store_request("GET", read_path(office_key), "", tenancy_.ttl_s() / 10, [this, res, length](HttpReply&& a) {
+        const bool failed = a.status == 503 || a.status == 0;
+        tenancy_.store_read(!failed, now());
+        if (tenancy_.promise(length, now(), office_ == Office::standby, failed)) return res.send(200, "{}");
+        res.send(409, R"({"error":"the store answers here, or an attempt is under way"})");
+    });
 }
 
 void Node::step_down(const std::string& why) {
@@ -187,7 +217,7 @@
     if (hold_ != 0) store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold_), "", 1, [](HttpReply&&) {});
     ++generation_;
     office_ = Office::standby;
-    valid_until_ = 0;
+    tenancy_.begin();
     hold_ = 0;
     holder_.clear();
     queue_.clear();
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -59,7 +59,7 @@
 
 bool Core::usable(const Machine& m, const Job& j) const {
     if (m.status != Status::up || m.draining || m.bad || m.releasing || m.type < 0 || m.zone < 0) return false;
-    if (now_ < m.avoid_until || now_ > m.last_seen + 1.5 * s_.report_s) return false;
+    if (now_ < m.avoid_until || now_ > m.heard + 1.5 * s_.report_s) return false;
     if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until && j.spec.rank >= m.reserved_rank)
         return false;
     const auto& spec = j.spec;
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -160,6 +160,22 @@
     for (const auto& [key, text] : records) EXPECT_EQ(text, "") << key;
 }
 
+// From the zone cut of kotaferry-tiket-grown: the holder inside the cut took all machines outside
+// for lost, and when the cut ended it gave them back with what ran there under its successor.
+TEST(Core, AHolderThatMayNotActCommandsNobody) {
+    OneTask s;
+    std::vector<Command> q;
+    for (double t = s.now; t < s.now + 3 * s.settings.lease_s; t += 0.5) {
+        q.push_back(Beat{OneTask::report(2, s.fence), 77});
+        q.push_back(JobStored{job(5, Shape::array, 50, 4), 0});
+        const auto effects = s.core.step(q, t, t, false);
+        EXPECT_EQ(effects.size(), all<BeatAnswer>(effects).size());
+        for (const auto& a : all<BeatAnswer>(effects)) EXPECT_EQ(a.status, 503);
+    }
+    EXPECT_EQ(s.core.live_tasks("wk-000001"), 1U);
+    EXPECT_FALSE(q.empty()); // kept for when it may act again
+}
+
 TEST(Core, AHigherTermInAReportEndsTheOffice) {
     OneTask s;
     const auto effects = s.give(Beat{OneTask::report(2, std::uint64_t{8} << fence_bits), 2});
