Empty what exceeds the need, rent dear machines for arrays only when these would be late

Cause: machines went back only when they happened to be empty for their boot time; replicas of the tail held 90 to 150 machines at a sixth to a third of their CPUs, and arrays with minutes to spare had accelerated machines rented for them. Now the need is computed (services, gangs, arrays by due time and by what they bring), machines beyond it take no new work and are emptied, dearest first; replicas move a few a round, more in larger clusters; replicas take the place of arrays on the pool; a gang makes all its room or none; ordinary machines with accelerators are kept ready for gangs.

--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -8,6 +8,7 @@
 #include "heronshift/placement.hpp"
 #include "heronshift/types.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -111,6 +112,8 @@
     std::vector<codec::Item> earlier; // of the layout before: a record a machine, one a job
 };
 
+inline constexpr int most_rented = 50;            // by one request
+inline constexpr std::size_t most_returned = 100;
 inline constexpr int fence_bits = 24; // fence = term << fence_bits | raises within the term
 inline constexpr int try_bits = 32;   // attempt = term << try_bits | passes within the term
 
@@ -184,6 +187,7 @@
         bool had_success = false;
         std::vector<std::uint64_t> cancels;
         double first_start = -1, room_until = -1;
+        bool good_room = false; // being made for its replicas
     };
     enum class Status : std::uint8_t { booting, up, lost };
     struct CachedImage {
@@ -203,6 +207,7 @@
         double known_since = 0, up_since = -1;
         std::vector<std::unique_ptr<Entry>> entries;
         Resources used, whole;
+        bool retiring = false; // to become empty and go back
         bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
         double release_retry = 0;
         double notice_until = -1;
@@ -302,20 +307,49 @@
     bool is_pool(const Machine& m) const;
     void choose_pool();
     int quota_room(const Job& j) const;
-    int place_single(Job& j);
+    int place_single(Job& j, double cap);
+    int place_service(Job& j);
     bool place_gang(Job& j);
     void place(Job& j, Machine& m);
-    int place_batch(const std::vector<Job*>& batch, int most);
-    bool make_room(Job& j);
+    int place_batch(const std::vector<Job*>& batch, int most, double cap);
+    struct Room {
+        Machine* machine = nullptr;
+        std::vector<Entry*> victims;
+        int tasks = 0;
+        double cost = 0;
+    };
+    Room room_on(Machine& m, const Job& j, int most) const;
+    void take_room(const Room& r, const Job& j);
+    int make_room(Job& j, double cap);
+    bool make_room_for_gang(Job& j);
     double loss_of(const Entry& e) const;
-    void plan_capacity();
-    void return_machines();
+    using Planned = std::unordered_map<const Machine*, Resources>; // room a round has given away
+    [[nodiscard]] bool movable(const Entry& e) const;
+    void move_away(Entry& e);
+    Machine* place_to_move(const Entry& e, const std::vector<Machine*>& to, Planned& planned) const;
     void plan_round();
+    void pull_back(const std::vector<Machine*>& pool_machines, const Resources& pool, int cap, Planned& planned);
+    void reorder(std::vector<Machine*>& pool_machines, std::vector<Machine*>& leaving, const std::vector<Machine*>& to,
+                 int cap, Planned& planned);
     void drain_noticed();
-    void queue_rentals(std::map<std::string, Pending>& wanted);
     std::vector<Job*> waiting_jobs();
     double work_left(const Job& j) const;
-    std::string cheapest_source(const Job& j, std::map<std::string, int>& planned, Pending& out) const;
+
+    // capacity.cpp
+    [[nodiscard]] const MachineType* type_of(const std::string& name) const;
+    [[nodiscard]] bool serves(const Machine& m) const;
+    [[nodiscard]] double due_at(const Job& j) const;
+    [[nodiscard]] double array_need() const;
+    void offer(const Job& j);
+    [[nodiscard]] double offered() const;
+    static double price_per_cpu(const MachineType& t, bool spot);
+    std::string cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear, Pending& out) const;
+    void plan_capacity();
+    Machine* keep_again(const Job& j);
+    void queue_rentals(std::map<std::string, Pending>& wanted);
+    void plan_shrink();
+    void return_machines();
+    void note_fleet();
 
     const Settings& s_;
     std::uint64_t term_;
@@ -376,6 +410,9 @@
     std::map<std::string, Pending> rentals_;
     std::map<std::string, double> no_capacity_; // "type/zone/kind" -> not before
     Resources common_shape_, service_shape_;
+    double offered_ = 0, offered_at_ = 0;
+    double ran_s_ = 1, estimated_s_ = 1; // of tasks done lately
+    [[nodiscard]] double bias() const { return std::clamp(ran_s_ / estimated_s_, 0.3, 3.0); }
     std::uint64_t launched_ = 0, lost_ = 0, preempted_ = 0, committed_ = 0, moved_ = 0;
 };
 
--- /dev/null
+++ b/src/capacity.cpp
@@ -0,0 +1,342 @@
+// Capacity: what to rent, keep, empty and give back.
+#include "heronshift/core.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+
+namespace heronshift {
+namespace {
+
+constexpr double least_charged_s = 60;  // a machine costs at least this, so it is not given back before
+constexpr double cheap_ratio = 1.5;     // of the lowest price a CPU second: such machines are always worth renting
+constexpr double window_used = 0.4;     // of the time an array has left, since estimates are often wrong by half
+constexpr double spare = 1.15;          // of what arrays need, kept
+constexpr double offered_leases = 3;    // lengths of a lease over which offered work is averaged
+constexpr double spare_gangs = 0.25;    // of the machines in use by gangs, kept free of gangs
+
+template <class V> bool allows(const std::vector<std::string>& list, const V& name) {
+    return list.empty() || std::find(list.begin(), list.end(), name) != list.end();
+}
+
+// How many tasks of one shape a machine takes.
+double fit_of(const Resources& each, const Resources& room) {
+    double fit = room.cpus / each.cpus;
+    if (each.memory_gb > 0) fit = std::min(fit, room.memory_gb / each.memory_gb);
+    if (each.gpus > 0) fit = std::min(fit, room.gpus / each.gpus);
+    return std::floor(fit + 1e-6);
+}
+
+} // namespace
+
+const MachineType* Core::type_of(const std::string& name) const {
+    for (const auto& t : types_)
+        if (t.name == name) return &t;
+    return nullptr;
+}
+
+// What counts as capacity: a machine that is up, heard of and not on its way out.
+bool Core::serves(const Machine& m) const {
+    return m.status == Status::up && !m.draining && !m.bad && !m.releasing && m.type >= 0 &&
+           now_ <= m.heard + 2 * s_.report_s;
+}
+
+// When a job should be complete by its owner's deadline or by the aim of its class; below zero: none.
+double Core::due_at(const Job& j) const {
+    if (j.spec.deadline_s >= 0) return j.submitted + j.spec.deadline_s;
+    double within = -1;
+    for (const auto& o : s_.objectives)
+        if (o.kind == "finished" && o.job_class == j.spec.job_class && (within < 0 || o.within_s < within))
+            within = o.within_s;
+    return within < 0 ? -1 : j.submitted + within;
+}
+
+// The CPUs that arrays need to be in time: of all jobs due before some moment, the work left over the
+// time left, though never more than all their tasks at once.
+double Core::array_need() const {
+    struct Due {
+        double window, work, at_once;
+    };
+    std::vector<Due> list;
+    for (const auto& [id, j] : jobs_) {
+        if (j->spec.shape != Shape::array || j->final != Final::none) continue;
+        const double each = j->spec.each.cpus, run = std::max(1.0, j->spec.estimate_s) * bias();
+        const double waiting = static_cast<double>(j->pending.size());
+        const double due = due_at(*j);
+        double window = due < 0 ? 10 * run : (due - now_ - run) * window_used;
+        if (j->guaranteed)
+            for (const auto& o : s_.objectives)
+                if (o.kind == "guarantee") window = std::min(window, j->submitted + o.within_s - now_);
+        list.push_back({std::max(window, 1e-3), each * run * (waiting + 0.5 * j->live), each * (waiting + j->live)});
+    }
+    std::sort(list.begin(), list.end(), [](const Due& a, const Due& b) { return a.window < b.window; });
+    double need = 0, work = 0, at_once = 0;
+    for (const auto& d : list) {
+        work += d.work;
+        at_once += d.at_once;
+        need = std::max(need, std::min(at_once, work / d.window));
+    }
+    return need;
+}
+
+// Work that arrays bring, averaged over a while: what is kept for those to come.
+void Core::offer(const Job& j) {
+    if (j.spec.shape != Shape::array) return;
+    const double over = offered_leases * s_.lease_s;
+    offered_ *= std::exp(-(now_ - offered_at_) / over);
+    offered_at_ = now_;
+    offered_ += work_left(j) / over * std::exp(-std::max(0.0, now_ - j.submitted) / over);
+}
+
+double Core::offered() const {
+    return offered_ * bias() * std::exp(-(now_ - offered_at_) / (offered_leases * s_.lease_s));
+}
+
+double Core::price_per_cpu(const MachineType& t, bool spot) {
+    return (spot ? t.spot_price : t.price) / t.room.cpus;
+}
+
+// The cheapest kind of machine that a job's task may use and that may be had.
+std::string Core::cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear, Pending& out) const {
+    double best = 1e18, lowest = 1e18;
+    std::string key;
+    for (const auto& t : types_) {
+        if (!allows(j.spec.types, t.name) || !j.spec.each.fits(t.room)) continue;
+        const double fit = fit_of(j.spec.each, t.room);
+        for (const auto& z : t.zones)
+            for (const bool spot : {true, false}) {
+                if ((spot && !j.spec.spot) || (!j.spec.zone.empty() && j.spec.zone != z)) continue;
+                if (std::find(s_.zones.begin(), s_.zones.end(), z) == s_.zones.end()) continue;
+                const double each = (spot ? t.spot_price : t.price) / fit;
+                lowest = std::min(lowest, each);
+                const auto k = fmt::format("{}/{}/{}", t.name, z, spot);
+                const auto blocked = no_capacity_.find(k);
+                if (blocked != no_capacity_.end() && now_ < blocked->second) continue;
+                const auto crowd = in_zone.find(z);
+                const double cost = each * (1 + 0.001 * (crowd == in_zone.end() ? 0 : crowd->second));
+                if (cost < best) {
+                    best = cost;
+                    key = k;
+                    out = {t.name, z, spot, 0, now_, true};
+                }
+            }
+    }
+    if (!dear && best > lowest * cheap_ratio) return {};
+    return key;
+}
+
+// What waits and finds no place on machines that are up, booting or asked for is rented for: one
+// request a round for each type, zone and kind. Dear machines are rented for arrays only as far as
+// these would be late otherwise.
+void Core::plan_capacity() {
+    if (types_.empty()) return;
+    struct Coming {
+        Resources free;
+        const MachineType* type;
+        std::string zone;
+        bool spot;
+    };
+    std::vector<Coming> coming;
+    std::map<std::string, int> in_zone;
+    double have = 0; // CPUs that arrays have or will have
+    for (const auto& [id, m] : machines_) {
+        if (m->status != Status::lost) ++in_zone[m->zone_name];
+        const auto* t = type_of(m->type_name);
+        if (m->status == Status::booting && t != nullptr && !m->releasing && now_ - m->known_since < 3 * t->boot_s)
+            coming.push_back({t->room, t, m->zone_name, m->spot});
+        if (!serves(*m) || m->retiring) continue;
+        have += m->whole.cpus;
+        for (const auto& e : m->entries)
+            if (e->job->spec.shape != Shape::array) have -= e->job->spec.each.cpus;
+    }
+    for (const auto& [claim, p] : rentals_) {
+        in_zone[p.zone] += p.count;
+        if (const auto* t = type_of(p.type); t != nullptr)
+            for (int i = 0; i < p.count; ++i) coming.push_back({t->room, t, p.zone, p.spot});
+    }
+    for (const auto& c : coming) have += c.free.cpus;
+    const double need = array_need() * spare;
+
+    std::map<std::string, Pending> wanted;
+    for (auto* j : waiting_jobs()) {
+        const bool array = j->spec.shape == Shape::array;
+        int left = std::min(static_cast<int>(j->pending.size()), quota_room(*j));
+        for (int guard = 0; left > 0 && guard < 200; ++guard) {
+            for (auto& c : coming) {
+                if (left <= 0) break;
+                if ((c.spot && !j->spec.spot) || !allows(j->spec.types, c.type->name)) continue;
+                if (!j->spec.zone.empty() && j->spec.zone != c.zone) continue;
+                const int n = std::min(left, static_cast<int>(std::max(0.0, fit_of(j->spec.each, c.free))));
+                c.free -= j->spec.each * n;
+                left -= n;
+            }
+            // A machine on its way out is up already and costs no boot.
+            while (left > 0 && (!array || have < need)) {
+                auto* m = keep_again(*j);
+                if (m == nullptr) break;
+                have += m->whole.cpus;
+                left -= static_cast<int>(fit_of(j->spec.each, m->whole - m->used));
+            }
+            if (left <= 0) break;
+            Pending source;
+            const auto key = cheapest_source(*j, in_zone, !array || have < need, source);
+            if (key.empty()) break;
+            auto& w = wanted[key];
+            if (w.type.empty()) w = source;
+            if (w.count >= most_rented) break;
+            ++w.count;
+            ++in_zone[source.zone];
+            const auto* t = type_of(source.type);
+            have += t->room.cpus;
+            coming.push_back({t->room, t, source.zone, source.spot});
+        }
+    }
+    queue_rentals(wanted);
+}
+
+// The fullest machine on its way out that can take a task of the job is kept after all.
+Core::Machine* Core::keep_again(const Job& j) {
+    Machine* best = nullptr;
+    for (auto& [id, m] : machines_) {
+        if (!m->retiring || m->releasing) continue;
+        m->retiring = false;
+        const bool good = usable(*m, j) && j.spec.each.fits(m->whole - m->used);
+        m->retiring = true;
+        if (good && (best == nullptr || m->used.cpus > best->used.cpus)) best = m.get();
+    }
+    if (best != nullptr) {
+        best->retiring = false;
+        dirty_ = true;
+    }
+    return best;
+}
+
+void Core::queue_rentals(std::map<std::string, Pending>& wanted) {
+    for (auto& [key, w] : wanted) {
+        const bool busy = std::any_of(rentals_.begin(), rentals_.end(), [&](const auto& r) {
+            return r.second.type == w.type && r.second.zone == w.zone && r.second.spot == w.spot;
+        });
+        if (busy) continue;
+        // The term makes the name unique among all holders there ever were.
+        const auto claim = fmt::format("r-{}-{}", term_, ++claim_seq_);
+        rentals_[claim] = w;
+        effects_.push_back(Rent{claim, w.type, w.zone, w.spot, w.count});
+    }
+}
+
+// What the cluster has beyond its need is emptied, the dearest first: such a machine takes no new
+// work, its arrays end by themselves and its replicas move, a few a round.
+void Core::plan_shrink() {
+    double have = 0, need = 0, largest_gang = 0, gang_machines = 0, ready = 0;
+    std::vector<Machine*> list;
+    std::unordered_map<const Machine*, double> lasting;
+    for (auto& [id, m] : machines_) {
+        if (!serves(*m) || m->retiring) continue;
+        double services = 0, gangs = 0;
+        for (const auto& e : m->entries) {
+            if (e->job->spec.shape == Shape::service) services += e->job->spec.each.cpus;
+            if (e->job->spec.shape == Shape::gang) {
+                gangs += e->job->spec.each.cpus;
+                largest_gang = std::max(largest_gang, static_cast<double>(e->job->spec.tasks));
+            }
+        }
+        have += m->whole.cpus;
+        need += services + gangs;
+        gang_machines += gangs > 0;
+        ready += m->whole.gpus > 0 && !m->spot && gangs <= 0;
+        if (m->pool) need += service_shape_.cpus * 2; // what usable() leaves free there
+        lasting[m.get()] = services;
+        const bool paid = now_ - m->known_since < least_charged_s;
+        if (!m->pool && gangs <= 0 && !paid && (m->reserved_for == nullptr || now_ >= m->reserved_until))
+            list.push_back(m.get());
+    }
+    for (const auto& [id, j] : jobs_) {
+        if (j->final != Final::none || j->pending.empty()) continue;
+        if (j->spec.shape != Shape::array) need += j->spec.each.cpus * static_cast<double>(j->pending.size());
+        if (j->spec.shape == Shape::gang) largest_gang = std::max(largest_gang, static_cast<double>(j->spec.tasks));
+    }
+    const double arrays = std::max(array_need(), offered());
+    note(0, fmt::format("capacity: {:.0f} CPUs, {:.0f} for services and gangs, arrays need {:.0f} and bring {:.0f}", have,
+                        need, array_need(), offered()));
+    need += arrays * spare;
+    std::sort(list.begin(), list.end(), [&](const Machine* a, const Machine* b) {
+        const double pa = price_per_cpu(types_[static_cast<std::size_t>(a->type)], a->spot);
+        const double pb = price_per_cpu(types_[static_cast<std::size_t>(b->type)], b->spot);
+        if (pa != pb) return pa > pb;
+        if (lasting[a] != lasting[b]) return lasting[a] < lasting[b];
+        if (a->used.cpus != b->used.cpus) return a->used.cpus < b->used.cpus;
+        return a->id > b->id;
+    });
+    const double keep_ready = gang_machines * spare_gangs + largest_gang;
+    for (auto* m : list) {
+        if (have - m->whole.cpus < need) return;
+        if (m->whole.gpus > 0 && !m->spot) {
+            if (ready - 1 < keep_ready) continue;
+            --ready;
+        }
+        have -= m->whole.cpus;
+        m->retiring = true;
+        note(0, fmt::format("machine {} is to become empty, {:.0f} of its CPUs in use", m->id, m->used.cpus));
+    }
+}
+
+void Core::return_machines() {
+    Release out;
+    for (auto& [id, mp] : machines_) {
+        auto& m = *mp;
+        if (out.machines.size() >= most_returned) break;
+        if (m.release_asked || now_ < m.release_retry) continue;
+        const auto* t = m.type >= 0 ? &types_[static_cast<std::size_t>(m.type)] : nullptr;
+        const double boot = t != nullptr ? t->boot_s : s_.lease_s;
+        bool give_back = m.releasing;
+        if (m.status == Status::booting && now_ - m.known_since > 5 * boot + s_.lease_s) give_back = true;
+        if (m.status == Status::lost && m.entries.empty() && (m.bad || now_ - m.last_seen > 2 * s_.lease_s))
+            give_back = true;
+        if (m.bad && m.status == Status::up) {
+            for (auto& e : m.entries) stop_entry(*e, e->job->spec.checkpoint_s > 0 ? e->job->spec.save_s + 1 : 0);
+            if (m.entries.empty()) give_back = true;
+        }
+        const bool unwanted = m.retiring || (s_.ops.empty_s > 0 && now_ - m.empty_since > s_.ops.empty_s);
+        if (m.status == Status::up && m.entries.empty() && !m.draining && m.empty_since >= 0 && unwanted &&
+            now_ - started_ > s_.report_s && m.batch == 0)
+            give_back = true;
+        if (!give_back || !m.entries.empty()) continue;
+        m.releasing = m.release_asked = true;
+        out.machines.push_back(id);
+    }
+    if (out.machines.empty()) return;
+    note(1, fmt::format("returning {} machines, {} first", out.machines.size(), out.machines.front()));
+    effects_.emplace_back(std::move(out));
+}
+
+// One line a kind of machine, for operators who watch the fleet.
+void Core::note_fleet() {
+    struct Sum {
+        int up = 0, booting = 0, pool = 0, empty = 0;
+        double room = 0, services = 0, gangs = 0, arrays = 0;
+    };
+    std::map<std::string, Sum> kinds;
+    for (const auto& [id, m] : machines_) {
+        auto& s = kinds[m->type_name + (m->spot ? " (spot)" : "")];
+        s.booting += m->status == Status::booting;
+        if (m->status != Status::up) continue;
+        ++s.up;
+        s.pool += m->pool;
+        s.empty += m->entries.empty();
+        s.room += m->whole.cpus;
+        for (const auto& e : m->entries)
+            (e->job->spec.shape == Shape::service ? s.services
+             : e->job->spec.shape == Shape::gang  ? s.gangs
+                                                  : s.arrays) += e->job->spec.each.cpus;
+    }
+    for (const auto& [kind, s] : kinds)
+        note(0, fmt::format("fleet: {}: {} up ({} pool, {} empty), {} booting, of {:.0f} CPUs {:.0f} in services, {:.0f} "
+                            "in gangs, {:.0f} in arrays",
+                            kind, s.up, s.pool, s.empty, s.booting, s.room, s.services, s.gangs, s.arrays));
+    std::map<Rank, std::size_t> waiting;
+    for (const auto& [id, j] : jobs_)
+        if (j->final == Final::none) waiting[j->spec.rank] += j->pending.size();
+    for (const auto& [rank, n] : waiting) note(0, fmt::format("waiting: {} tasks of rank {}", n, static_cast<int>(rank)));
+}
+
+} // namespace heronshift
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -100,6 +100,7 @@
     if (now_ >= next_rent_) {
         next_rent_ = now_ + s_.report_s / 3;
         plan_capacity();
+        plan_shrink();
         return_machines();
     }
     if (now_ >= next_round_) {
@@ -139,6 +140,7 @@
         list.insert(at.base(), j.get());
     }
     for (std::uint32_t i = 0; i < j->spec.tasks; ++i) queue_task(*j, i, false);
+    offer(*j);
     jobs_.emplace(j->spec.id, std::move(j));
     dirty_ = true;
 }
@@ -359,8 +361,13 @@
     switch (t.cause) {
     case ExitCause::done:
         m.failed_jobs.clear();
-        if (e.running_at >= 0 && j.spec.estimate_s > 0 && !j.spec.checkpoint_s)
-            m.slow = 0.8 * m.slow + 0.2 * std::clamp((now_ - e.running_at) / j.spec.estimate_s, 0.2, 5.0);
+        if (e.running_at >= 0 && j.spec.estimate_s > 0 && !j.spec.checkpoint_s) {
+            const double ratio = std::clamp((now_ - e.running_at) / j.spec.estimate_s, 0.2, 5.0);
+            m.slow = 0.8 * m.slow + 0.2 * ratio;
+            // On some days most estimates are too low: sums, since single ones are often wrong by half.
+            ran_s_ = 0.995 * ran_s_ + std::min(now_ - e.running_at, 5 * j.spec.estimate_s);
+            estimated_s_ = 0.995 * estimated_s_ + j.spec.estimate_s;
+        }
         mark_done(j, e.index);
         break;
     case ExitCause::stopped:
@@ -410,7 +417,11 @@
     auto& j = *e.job;
     if (e.phase == Phase::running && was != Phase::running) {
         ++j.running;
-        if (e.running_at < 0) e.running_at = now_;
+        if (e.running_at < 0) {
+            e.running_at = now_;
+            note(0, fmt::format("task {}/{} runs on {}, {:.1f} s after it was placed, {:.1f} s after its job came",
+                                j.spec.id, e.index, e.machine->id, now_ - e.placed_at, now_ - j.submitted));
+        }
         if (j.first_start < 0) j.first_start = now_;
     } else if (was == Phase::running && e.phase != Phase::running && j.running > 0) {
         --j.running;
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -38,6 +38,7 @@
     tenancy_.store_read(r.status == 200 || r.status == 404, now());
     if (r.status == 404) {
         holder_.clear();
+        spdlog::debug("the office is free{}", tenancy_.may_take(now()) ? "" : ", but we promised to wait");
         if (!tenancy_.may_take(now())) return again(std::max(0.01, tenancy_.not_before() - now()));
         acquire();
         return;
@@ -72,6 +73,7 @@
     hold_ = 0;
     auto fail = [this, gen] {
         if (gen != generation_) return;
+        spdlog::debug("the office was not to be had");
         if (hold_ != 0)
             store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold_), "", 1, [](HttpReply&&) {});
         office_ = Office::standby;
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -8,6 +8,12 @@
 namespace heronshift {
 namespace {
 
+// Beyond the paper's caps, which are for a cluster of a dozen machines: of all replicas, a round.
+constexpr double moved_share = 0.004;
+
+constexpr double loss_weight = 0.05; // seconds a replica may wait for each CPU second not lost
+constexpr double good_place_s = 18;  // cost of a place that is good enough not to look further
+
 std::uint32_t half_up(std::uint32_t n) {
     return (n + 1) / 2;
 }
@@ -58,7 +64,7 @@
 }
 
 bool Core::usable(const Machine& m, const Job& j) const {
-    if (m.status != Status::up || m.draining || m.bad || m.releasing || m.type < 0 || m.zone < 0) return false;
+    if (m.status != Status::up || m.draining || m.bad || m.releasing || m.retiring || m.type < 0 || m.zone < 0) return false;
     if (now_ < m.avoid_until || now_ > m.heard + 1.5 * s_.report_s) return false;
     if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until && j.spec.rank >= m.reserved_rank)
         return false;
@@ -114,7 +120,9 @@
             if (j->final != Final::none) continue;
             cpus += j->spec.each.cpus * j->spec.tasks;
             gpus += j->spec.each.gpus * j->spec.tasks;
-            j->guaranteed = (t.limits.cpus <= 0 || cpus <= t.limits.cpus + 1e-6) &&
+            // What is guaranteed nothing of what a job uses is no guarantee for it.
+            const bool some = t.limits.cpus > 0 || (t.limits.gpus > 0 && j->spec.each.gpus > 0);
+            j->guaranteed = some && (t.limits.cpus <= 0 || cpus <= t.limits.cpus + 1e-6) &&
                             (t.limits.gpus <= 0 || gpus <= t.limits.gpus + 1e-6);
         }
     }
@@ -167,8 +175,8 @@
     }
 }
 
-// New tasks go in batches of at most eight, without moves, placing the most.
-int Core::place_batch(const std::vector<Job*>& batch, int most) {
+// New tasks go in batches of at most eight, without moves, placing the most, none above the cap.
+int Core::place_batch(const std::vector<Job*>& batch, int most, double cap) {
     std::vector<placement::Bin> bins;
     std::vector<Machine*> machines;
     std::vector<placement::Group> groups;
@@ -216,7 +224,7 @@
                                      s_.ops.gamma);
                 }
             }
-            groups[g].cost.push_back(cost);
+            groups[g].cost.push_back(cost < cap ? cost : -1);
         }
     const auto plan = placement::match_batch(groups, bins, common_shape_);
     int placed = 0;
@@ -227,7 +235,7 @@
 }
 
 // Jobs with zone rules: task by task, since each placement changes where the next may go.
-int Core::place_single(Job& j) {
+int Core::place_single(Job& j, double cap) {
     int placed = 0;
     while (!j.pending.empty() && quota_room(j) > 0) {
         const auto i = j.pending.front();
@@ -237,7 +245,7 @@
             continue;
         }
         Machine* best = nullptr;
-        double best_cost = 1e18;
+        double best_cost = cap;
         for (auto& [id, m] : machines_) {
             const auto free = m->whole - m->used;
             if (!j.spec.each.fits(free) || !usable(*m, j)) continue;
@@ -256,6 +264,24 @@
     return placed;
 }
 
+// Replicas last: a good place, on the pool and with the image at hand, is worth stopping a little
+// work of lower rank for. What finds none goes where there is room.
+int Core::place_service(Job& j) {
+    auto place = [&](double cap) {
+        if (j.spec.spread || j.spec.one_zone) return place_single(j, cap);
+        int placed = 0, n = 0;
+        while ((n = place_batch({&j}, s_.ops.batch, cap)) > 0) placed += n;
+        return placed;
+    };
+    int placed = place(good_place_s);
+    if (j.pending.empty()) return placed;
+    if (now_ < j.room_until && j.good_room) return placed; // being made
+    j.good_room = now_ >= j.room_until && make_room(j, good_place_s) > 0;
+    if (j.good_room) j.room_until = now_ + s_.report_s / 6;
+    else placed += place(1e18);
+    return placed;
+}
+
 // A gang goes whole or waits; with one_zone, the zone that takes all of it at least cost.
 bool Core::place_gang(Job& j) {
     if (j.live > 0 || quota_room(j) < static_cast<int>(j.spec.tasks)) return false;
@@ -303,52 +329,98 @@
     return (run + 1) * s.each.cpus;
 }
 
-// Stops work of lower rank on the machine where that loses least.
-bool Core::make_room(Job& j) {
-    if (quota_room(j) <= 0) return false;
-    Machine* best = nullptr;
-    double best_loss = 1e18;
-    std::vector<std::size_t> best_victims;
-    for (auto& [id, m] : machines_) {
-        if (!usable(*m, j) || !j.spec.each.fits(m->whole)) continue;
-        if (m->reserved_for != nullptr && now_ < m->reserved_until) continue;
-        std::vector<std::pair<double, std::size_t>> order;
-        auto free = m->whole - m->used;
-        for (std::size_t i = 0; i < m->entries.size(); ++i) {
-            const auto& e = *m->entries[i];
-            const auto& v = e.job->spec;
-            if (e.stop) {
-                free += v.each;
-                continue;
-            }
-            const bool lower = v.rank > j.spec.rank && v.shape != Shape::service;
-            if (lower && v.shape != Shape::gang) order.emplace_back(loss_of(e), i);
-        }
-        std::sort(order.begin(), order.end());
-        double loss = has_image(*m, j.image) ? 0 : 1;
-        std::vector<std::size_t> victims;
-        for (const auto& [l, i] : order) {
-            if (j.spec.each.fits(free)) break;
-            free += m->entries[i]->job->spec.each;
-            loss += l;
-            victims.push_back(i);
-        }
-        if (j.spec.each.fits(free) && loss < best_loss) {
-            best = m.get();
-            best_loss = loss;
-            best_victims = std::move(victims);
-        }
+// The room that stopping work of lower rank would make on one machine, lowest loss first.
+Core::Room Core::room_on(Machine& m, const Job& j, int most) const {
+    Room r;
+    r.machine = &m;
+    const bool reserved = m.reserved_for != nullptr && now_ < m.reserved_until;
+    if (reserved || !usable(m, j) || !j.spec.each.fits(m.whole)) return r;
+    std::vector<std::pair<double, Entry*>> order;
+    auto free = m.whole - m.used;
+    for (const auto& e : m.entries) {
+        const auto& v = e->job->spec;
+        if (e->stop) free += v.each;
+        else if (v.rank > j.spec.rank && v.shape == Shape::array) order.emplace_back(loss_of(*e), e.get());
+    }
+    std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    const auto fits = [&] {
+        int n = 0;
+        for (auto left = free; n < most && j.spec.each.fits(left); ++n) left -= j.spec.each;
+        return n;
+    };
+    r.tasks = fits();
+    double loss = 0;
+    for (const auto& [l, e] : order) {
+        if (r.tasks >= most) break;
+        free += e->job->spec.each;
+        loss += l;
+        r.victims.push_back(e);
+        r.tasks = fits();
     }
-    if (best == nullptr) return false;
-    for (const auto i : best_victims) {
-        stop_entry(*best->entries[i], 0);
+    if (r.tasks > 0) r.cost = placement_cost(m, j) + loss_weight * loss / r.tasks;
+    return r;
+}
+
+void Core::take_room(const Room& r, const Job& j) {
+    for (auto* e : r.victims) {
+        stop_entry(*e, 0);
         ++preempted_;
     }
-    note(0, fmt::format("job {} takes the place of {} tasks on {}", j.spec.id, best_victims.size(), best->id));
-    best->reserved_for = &j;
-    best->reserved_rank = j.spec.rank;
-    best->reserved_until = now_ + s_.report_s;
-    return true;
+    if (!r.victims.empty())
+        note(0, fmt::format("job {} takes the place of {} tasks on {}", j.spec.id, r.victims.size(), r.machine->id));
+    r.machine->reserved_for = &j;
+    r.machine->reserved_rank = j.spec.rank;
+    r.machine->reserved_until = now_ + s_.report_s;
+}
+
+// Stops work of lower rank where that costs least, below the given cost a task. Returns for how
+// many tasks there will be room.
+int Core::make_room(Job& j, double cap) {
+    int left = std::min(static_cast<int>(j.pending.size()), quota_room(j)), made = 0;
+    std::vector<Room> rooms;
+    for (auto& [id, m] : machines_)
+        if (auto r = room_on(*m, j, left); r.tasks > 0 && !r.victims.empty() && r.cost < cap) rooms.push_back(std::move(r));
+    std::sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) { return a.cost < b.cost; });
+    for (const auto& r : rooms) {
+        if (left <= 0) break;
+        if (j.spec.spread) {
+            // Each zone takes a part only; which, the placement decides.
+            if (made >= static_cast<int>(half_up(j.spec.tasks))) break;
+        }
+        take_room(r, j);
+        left -= r.tasks;
+        made += r.tasks;
+    }
+    return made;
+}
+
+// For a gang all its room or none: half of it would help nobody and keep it from others.
+bool Core::make_room_for_gang(Job& j) {
+    const int tasks = static_cast<int>(j.spec.tasks);
+    if (j.live > 0 || quota_room(j) < tasks) return false;
+    std::vector<Room> best;
+    double best_cost = 1e18;
+    const int tries = j.spec.one_zone ? static_cast<int>(s_.zones.size()) : 1;
+    for (int z = 0; z < tries; ++z) {
+        std::vector<Room> rooms;
+        for (auto& [id, m] : machines_)
+            if (!j.spec.one_zone || m->zone == z)
+                if (auto r = room_on(*m, j, tasks); r.tasks > 0) rooms.push_back(std::move(r));
+        std::sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) { return a.cost < b.cost; });
+        int made = 0;
+        double cost = 0;
+        std::size_t used = 0;
+        while (used < rooms.size() && made < tasks) {
+            made += rooms[used].tasks;
+            cost += rooms[used++].cost;
+        }
+        if (made < tasks || cost >= best_cost) continue;
+        rooms.resize(used);
+        best = std::move(rooms);
+        best_cost = cost;
+    }
+    for (const auto& r : best) take_room(r, j);
+    return !best.empty();
 }
 
 void Core::schedule() {
@@ -373,8 +445,10 @@
         if (!hopeless) {
             if (j.spec.shape == Shape::gang) {
                 if (place_gang(j)) budget -= static_cast<int>(j.spec.tasks);
+            } else if (j.spec.shape == Shape::service) {
+                budget -= place_service(j);
             } else if (j.spec.spread || j.spec.one_zone) {
-                budget -= place_single(j);
+                budget -= place_single(j, 1e18);
             } else {
                 std::vector<Job*> batch{&j};
                 std::size_t total = j.pending.size();
@@ -385,7 +459,7 @@
                     total += jobs[i]->pending.size();
                 }
                 int n = 0;
-                while (budget > 0 && (n = place_batch(batch, s_.ops.batch)) > 0) budget -= n;
+                while (budget > 0 && (n = place_batch(batch, s_.ops.batch, 1e18)) > 0) budget -= n;
             }
         }
         if (j.pending.empty() || j.live == j.spec.tasks) continue;
@@ -393,147 +467,13 @@
         if (plain && j.spec.shape != Shape::gang && quota_room(j) > 0) failed.push_back({j.spec.each, j.spec.spot});
         if (j.spec.rank <= Rank::high && now_ >= j.room_until) {
             j.room_until = now_ + s_.report_s / 2;
-            for (std::size_t n = 0; n < j.pending.size() && n < 4; ++n)
-                if (!make_room(j)) break;
+            if (j.spec.shape == Shape::gang) make_room_for_gang(j);
+            else make_room(j, 1e18);
         }
     }
     if (budget <= 0) dirty_ = true;
 }
 
-// The cheapest kind of machine that a job's task may use and that may be had.
-std::string Core::cheapest_source(const Job& j, std::map<std::string, int>& planned, Pending& out) const {
-    double best = 1e18;
-    std::string key;
-    std::map<std::string, int> in_zone;
-    for (const auto& [id, m] : machines_)
-        if (m->status != Status::lost) ++in_zone[m->zone_name];
-    for (const auto& [id, p] : rentals_) in_zone[p.zone] += p.count;
-    for (const auto& t : types_) {
-        if (!allows(j.spec.types, t.name) || !j.spec.each.fits(t.room)) continue;
-        double fit = t.room.cpus / j.spec.each.cpus;
-        fit = std::min(fit, t.room.memory_gb / j.spec.each.memory_gb);
-        if (j.spec.each.gpus > 0) fit = std::min(fit, t.room.gpus / j.spec.each.gpus);
-        fit = std::floor(fit + 1e-6);
-        for (const auto& z : t.zones)
-            for (const bool spot : {true, false}) {
-                if ((spot && !j.spec.spot) || (!j.spec.zone.empty() && j.spec.zone != z)) continue;
-                if (std::find(s_.zones.begin(), s_.zones.end(), z) == s_.zones.end()) continue;
-                const auto k = fmt::format("{}/{}/{}", t.name, z, spot);
-                const auto blocked = no_capacity_.find(k);
-                if (blocked != no_capacity_.end() && now_ < blocked->second) continue;
-                const auto p = planned.find(z);
-                const int crowd = in_zone[z] + (p == planned.end() ? 0 : p->second);
-                const double cost = (spot ? t.spot_price : t.price) / fit * (1 + 0.001 * crowd);
-                if (cost < best) {
-                    best = cost;
-                    key = k;
-                    out = {t.name, z, spot, 0, now_, true};
-                }
-            }
-    }
-    return key;
-}
-
-// What waits and finds no place on machines that are up, booting or asked for is rented for: one
-// request a round for each type, zone and kind.
-void Core::plan_capacity() {
-    if (types_.empty()) return;
-    struct Coming {
-        Resources free;
-        const MachineType* type;
-        std::string zone;
-        bool spot;
-    };
-    std::vector<Coming> coming;
-    auto type_of = [&](const std::string& name) -> const MachineType* {
-        for (const auto& t : types_)
-            if (t.name == name) return &t;
-        return nullptr;
-    };
-    for (const auto& [id, m] : machines_) {
-        const auto* t = type_of(m->type_name);
-        if (m->status == Status::booting && t != nullptr && !m->releasing && now_ - m->known_since < 3 * t->boot_s)
-            coming.push_back({t->room, t, m->zone_name, m->spot});
-    }
-    for (const auto& [claim, p] : rentals_)
-        if (const auto* t = type_of(p.type); t != nullptr)
-            for (int i = 0; i < p.count; ++i) coming.push_back({t->room, t, p.zone, p.spot});
-
-    std::map<std::string, Pending> wanted;
-    std::map<std::string, int> planned;
-    std::vector<Resources> team_left;
-    for (auto* j : waiting_jobs()) {
-        int left = std::min(static_cast<int>(j->pending.size()), quota_room(*j));
-        std::vector<std::uint32_t> zone_live = j->zone_live;
-        for (int guard = 0; left > 0 && guard < 200; ++guard) {
-            for (auto& c : coming) {
-                if (left <= 0) break;
-                if ((c.spot && !j->spec.spot) || !allows(j->spec.types, c.type->name)) continue;
-                if (!j->spec.zone.empty() && j->spec.zone != c.zone) continue;
-                while (left > 0 && j->spec.each.fits(c.free)) {
-                    c.free -= j->spec.each;
-                    --left;
-                }
-            }
-            if (left <= 0) break;
-            Pending source;
-            const auto key = cheapest_source(*j, planned, source);
-            if (key.empty()) break;
-            auto& w = wanted[key];
-            if (w.type.empty()) w = source;
-            if (w.count >= 50) break;
-            ++w.count;
-            ++planned[source.zone];
-            const auto* t = type_of(source.type);
-            coming.push_back({t->room, t, source.zone, source.spot});
-        }
-    }
-    queue_rentals(wanted);
-}
-
-void Core::queue_rentals(std::map<std::string, Pending>& wanted) {
-    for (auto& [key, w] : wanted) {
-        const bool busy = std::any_of(rentals_.begin(), rentals_.end(), [&](const auto& r) {
-            return r.second.type == w.type && r.second.zone == w.zone && r.second.spot == w.spot;
-        });
-        if (busy) continue;
-        // The term makes the name unique among all holders there ever were.
-        const auto claim = fmt::format("r-{}-{}", term_, ++claim_seq_);
-        rentals_[claim] = w;
-        effects_.push_back(Rent{claim, w.type, w.zone, w.spot, w.count});
-    }
-}
-
-void Core::return_machines() {
-    Release out;
-    for (auto& [id, mp] : machines_) {
-        auto& m = *mp;
-        if (out.machines.size() >= 100) break;
-        if (m.release_asked || now_ < m.release_retry) continue;
-        const auto* t = m.type >= 0 ? &types_[static_cast<std::size_t>(m.type)] : nullptr;
-        const double boot = t != nullptr ? t->boot_s : s_.lease_s;
-        const double empty_s = s_.ops.empty_s > 0 ? s_.ops.empty_s : boot;
-        bool give_back = m.releasing;
-        if (m.status == Status::booting && now_ - m.known_since > 5 * boot + s_.lease_s) give_back = true;
-        if (m.status == Status::lost && m.entries.empty() && (m.bad || now_ - m.last_seen > 2 * s_.lease_s))
-            give_back = true;
-        if (m.bad && m.status == Status::up) {
-            for (auto& e : m.entries) stop_entry(*e, e->job->spec.checkpoint_s > 0 ? e->job->spec.save_s + 1 : 0);
-            if (m.entries.empty()) give_back = true;
-        }
-        if (m.status == Status::up && m.entries.empty() && !m.draining && m.empty_since >= 0 &&
-            now_ - m.empty_since > empty_s && now_ - started_ > s_.lease_s && m.batch == 0 &&
-            !(m.reserved_for != nullptr && now_ < m.reserved_until))
-            give_back = true;
-        if (!give_back || !m.entries.empty()) continue;
-        m.releasing = m.release_asked = true;
-        out.machines.push_back(id);
-    }
-    if (out.machines.empty()) return;
-    note(1, fmt::format("returning {} machines, {} first", out.machines.size(), out.machines.front()));
-    effects_.push_back(std::move(out));
-}
-
 // A machine that is taken back: what saves is told to save, what cannot end in time is stopped
 // so that it starts elsewhere at once.
 void Core::drain_noticed() {
@@ -551,79 +491,123 @@
     }
 }
 
-// Pull-back from overflow to the pool, then reordering within the pool, both capped.
+// A place for one task that moves: room beyond what this round has planned there, and the image at
+// hand, so that the task is not away for long.
+Core::Machine* Core::place_to_move(const Entry& e, const std::vector<Machine*>& to,
+                                   Planned& planned) const {
+    for (auto* m : to) {
+        if (m == e.machine || !usable(*m, *e.job) || !has_image(*m, e.job->image)) continue;
+        auto& taken = planned[m];
+        if (!(e.job->spec.each + taken).fits(m->whole - m->used)) continue;
+        taken += e.job->spec.each;
+        return m;
+    }
+    return nullptr;
+}
+
+void Core::move_away(Entry& e) {
+    stop_entry(e, e.job->spec.checkpoint_s > 0 ? e.job->spec.save_s + 1 : 0);
+    e.moving = true;
+    ++moved_;
+}
+
+// Only service tasks, or tasks of no gang that are under a minute old, are moved.
+bool Core::movable(const Entry& e) const {
+    return !e.stop && e.phase == Phase::running && e.job->final == Final::none &&
+           (e.job->spec.shape == Shape::service || (e.job->spec.shape == Shape::array && now_ - e.placed_at < 60));
+}
+
+// Pull-back from overflow to the pool, then reordering, both capped.
 void Core::plan_round() {
     if (types_.empty()) return;
+    note_fleet();
+    // Room for urgent work that waits comes first.
+    double replicas = 0;
+    for (auto& [id, j] : jobs_) {
+        if (j->final != Final::none) continue;
+        if (!j->pending.empty() && j->spec.rank <= Rank::high) return;
+        if (j->spec.shape == Shape::service) replicas += j->live;
+    }
+    const int more = static_cast<int>(replicas * moved_share);
     Resources pool;
-    std::vector<Machine*> pool_machines;
-    for (auto& [id, m] : machines_)
-        if (m->type >= 0 && m->status == Status::up && is_pool(*m) && !m->bad && !m->releasing) {
-            pool += m->whole;
-            pool_machines.push_back(m.get());
-        }
+    std::vector<Machine*> pool_machines, others, leaving;
+    for (auto& [id, m] : machines_) {
+        if (!serves(*m)) continue;
+        if (m->retiring) leaving.push_back(m.get());
+        else if (is_pool(*m)) pool_machines.push_back(m.get());
+        else if (m->whole.gpus <= 0 && !m->spot) others.push_back(m.get());
+        if (is_pool(*m)) pool += m->whole;
+    }
+    const auto fullest = [](const Machine* a, const Machine* b) { return a->used.cpus > b->used.cpus; };
+    std::stable_sort(pool_machines.begin(), pool_machines.end(), fullest);
+    std::stable_sort(others.begin(), others.end(), fullest);
+    Planned planned;
+    if (s_.ops.pull_back_cap > 0) pull_back(pool_machines, pool, s_.ops.pull_back_cap + more, planned);
+    if (s_.ops.reorder_cap > 0) {
+        auto to = pool_machines;
+        to.insert(to.end(), others.begin(), others.end());
+        reorder(pool_machines, leaving, to, s_.ops.reorder_cap + more, planned);
+    }
+}
+
+void Core::pull_back(const std::vector<Machine*>& pool_machines, const Resources& pool, int cap, Planned& planned) {
     const placement::Payoff f{s_.ops.alpha, s_.ops.beta, s_.ops.gamma};
-    auto movable = [&](const Entry& e) {
-        return !e.stop && e.phase == Phase::running && e.job->final == Final::none &&
-               (e.job->spec.shape == Shape::service || (e.job->spec.shape == Shape::array && now_ - e.placed_at < 60));
-    };
-    struct Candidate {
-        double score;
-        Machine* from;
-        std::size_t at;
-    };
-    // Room for what waits comes first: nothing is moved while tasks wait for a place.
-    for (auto& [id, j] : jobs_)
-        if (!j->pending.empty() && j->final == Final::none) return;
-    std::vector<Candidate> list;
+    std::vector<std::pair<double, Entry*>> list;
     for (auto& [id, m] : machines_) {
         if (m->status != Status::up || is_pool(*m)) continue;
-        for (std::size_t i = 0; i < m->entries.size(); ++i) {
-            const auto& e = *m->entries[i];
-            if (!movable(e) || e.job->spec.shape != Shape::service) continue;
-            const double gain = placement::pool_gain(f, e.job->on_pool, e.job->spec.tasks, s_.ops.target_share);
-            list.push_back({gain / placement::task_size(e.job->spec.each, pool), m.get(), i});
+        for (const auto& e : m->entries) {
+            if (!movable(*e) || e->job->spec.shape != Shape::service) continue;
+            const double gain = placement::pool_gain(f, e->job->on_pool, e->job->spec.tasks, s_.ops.target_share);
+            // From a machine that is to become empty first: it costs until it is.
+            list.emplace_back(gain / placement::task_size(e->job->spec.each, pool) * (m->retiring ? 2 : 1), e.get());
         }
     }
-    std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) { return a.score > b.score; });
-    int left = s_.ops.pull_back_cap;
-    for (auto& c : list) {
-        if (left <= 0) break;
-        auto& e = *c.from->entries[c.at];
-        for (auto* m : pool_machines) {
-            const auto room = m->whole - m->used;
-            if (!usable(*m, *e.job) || !e.job->spec.each.fits(room) || !has_image(*m, e.job->image)) continue;
-            stop_entry(e, e.job->spec.checkpoint_s > 0 ? e.job->spec.save_s + 1 : 0);
-            e.moving = true;
-            ++moved_;
-            --left;
-            break;
-        }
+    std::stable_sort(list.begin(), list.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    for (const auto& [score, e] : list) {
+        if (cap <= 0) return;
+        if (place_to_move(*e, pool_machines, planned) == nullptr) continue;
+        move_away(*e);
+        --cap;
     }
-    // The three most fragmented machines of the pool, at most 30 tasks looked at.
+}
+
+// The machines that are to become empty are the most fragmented of all: what they cost is wasted
+// until their last replica is gone. Then the paper's: the three most fragmented machines of the
+// pool, at most 30 tasks looked at.
+void Core::reorder(std::vector<Machine*>& pool_machines, std::vector<Machine*>& leaving,
+                   const std::vector<Machine*>& to, int cap, Planned& planned) {
+    std::stable_sort(leaving.begin(), leaving.end(),
+                     [](const Machine* a, const Machine* b) { return a->used.cpus < b->used.cpus; });
+    for (auto* m : leaving)
+        for (const auto& e : m->entries) {
+            if (cap <= 0) return;
+            if (!movable(*e) || e->job->spec.shape != Shape::service || place_to_move(*e, to, planned) == nullptr)
+                continue;
+            move_away(*e);
+            --cap;
+        }
     auto frag = [&](const Machine& m, const Resources& extra) {
         return placement::fragmentation(m.whole - m.used + extra, m.whole, common_shape_);
     };
     std::sort(pool_machines.begin(), pool_machines.end(),
               [&](const Machine* a, const Machine* b) { return frag(*a, {}) > frag(*b, {}); });
-    int looked = 0, moves = s_.ops.reorder_cap;
+    int looked = 0;
     for (std::size_t k = 0; k < pool_machines.size() && k < 3; ++k) {
         auto& from = *pool_machines[k];
-        for (auto& owned : from.entries) {
-            auto& e = *owned;
-            if (moves <= 0 || looked >= 30) return;
-            if (!movable(e)) continue;
+        for (const auto& e : from.entries) {
+            if (cap <= 0 || looked >= 30) return;
+            if (!movable(*e)) continue;
             ++looked;
-            for (auto* to : pool_machines) {
-                const auto& each = e.job->spec.each;
-                if (to == &from || !usable(*to, *e.job) || !each.fits(to->whole - to->used) ||
-                    !has_image(*to, e.job->image))
+            for (auto* other : pool_machines) {
+                const auto& each = e->job->spec.each;
+                if (other == &from || !usable(*other, *e->job) || !each.fits(other->whole - other->used) ||
+                    !has_image(*other, e->job->image))
                     continue;
-                const double before = frag(from, {}) + frag(*to, {});
-                const double after = frag(from, each) + frag(*to, each * -1);
+                const double before = frag(from, {}) + frag(*other, {});
+                const double after = frag(from, each) + frag(*other, each * -1);
                 if (before - after < 2 * each.cpus / from.whole.cpus) continue; // a clear fall only
-                stop_entry(e, e.job->spec.checkpoint_s > 0 ? e.job->spec.save_s + 1 : 0);
-                ++moved_;
-                --moves;
+                move_away(*e);
+                --cap;
                 break;
             }
         }
