--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -135,6 +135,7 @@
 
     // For tests: what is believed to be on machines.
     [[nodiscard]] std::size_t live_tasks(const std::string& job) const;
+    [[nodiscard]] std::size_t machines_up() const;
     [[nodiscard]] std::size_t machine_count() const {
         return machines_.size();
     }
@@ -169,7 +170,7 @@
         JobSpec spec;
         int team = -1, image = -1;
         std::size_t bucket = 0; // of the progress records
-        double submitted = 0;
+        double submitted = 0, start_within_s = -1; // the aim of its class, below zero: none
         std::vector<Task> tasks;
         std::deque<std::uint32_t> pending;
         std::vector<Entry*> entries;
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -43,6 +43,7 @@
     // office.cpp: leadership
     void watch_office();
     void office_seen(const HttpReply& r);
+    void ask_for_holder();
     void acquire();
     void load(const std::string& prefix, const std::string& since, std::vector<codec::Item>* into,
               std::function<void()> next);
@@ -74,7 +75,7 @@
         std::optional<codec::Item> job;
     };
     void look_up(const std::string& id, std::function<void(Found)> done);
-    void store_job(JobSpec spec, Responder res, int tries);
+    void store_job(JobSpec spec, HttpRequest&& request, Responder res, bool forwarded, int tries);
     void learn_types();
     [[nodiscard]] std::string impossible(const JobSpec& s) const;
 
@@ -102,7 +103,10 @@
     RateBudget store_budget_, submit_budget_, cloud_budget_;
 
     Office office_ = Office::standby;
-    std::string holder_;
+    std::string holder_; // as far as this node knows
+    std::uint64_t office_term_ = 0;
+    bool store_fails_ = false; // its last answer to this node was none
+    double workers_heard_ = 0, office_at_ = 0, resting_until_ = 0;
     std::uint64_t hold_ = 0, term_ = 0, office_stamp_ = 0, round_stamp_ = 0, round_seq_ = 0, follow_epoch_ = 0;
     Tenancy tenancy_;
     bool carried_ = false; // by promises, said once a term
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -130,6 +130,9 @@
     j->tasks.resize(j->spec.tasks);
     j->zone_live.resize(s_.zones.size() + 1);
     j->bucket = bucket_of(j->spec.id);
+    if (j->spec.shape == Shape::service)
+        for (const auto& o : s_.objectives)
+            if (o.kind == "wait" && o.job_class == j->spec.job_class) j->start_within_s = o.within_s;
     j->image = image_id(j->spec.image, j->spec.image_gb);
     for (std::size_t i = 0; i < teams_.size(); ++i)
         if (teams_[i].limits.name == j->spec.team) j->team = static_cast<int>(i);
@@ -758,6 +761,11 @@
     return v;
 }
 
+std::size_t Core::machines_up() const {
+    return static_cast<std::size_t>(
+        std::count_if(machines_.begin(), machines_.end(), [](const auto& m) { return m.second->status == Status::up; }));
+}
+
 std::size_t Core::live_tasks(const std::string& job) const {
     const auto it = jobs_.find(job);
     return it == jobs_.end() ? 0 : it->second->live;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int retry_soon_s = 1;
+constexpr double deaf_reports = 2.5; // intervals without a word from any worker: this node is cut off
+constexpr std::size_t few_machines = 4;
 constexpr const char* peer_prefix = "/peer";
 constexpr const char* not_now = R"({"error":"not now, try again"})";
 
@@ -135,6 +137,12 @@
         list_machines("");
     }
     cloud_pump();
+    // Cut off from all workers at once, this node is the wrong holder: their leases would run out.
+    if (valid() && core_ && t - std::max(workers_heard_, office_at_) > deaf_reports * s_.report_s &&
+        core_->machines_up() >= few_machines) {
+        resting_until_ = t + s_.lease_s;
+        step_down("no worker has been heard of for a while");
+    }
     // A cancellation that the store does not take in time is refused, not held back.
     for (auto it = cancels_.begin(); it != cancels_.end();) {
         if (t - it->second.since < s_.report_s / 2) {
@@ -171,6 +179,7 @@
     } else if (auto* orders = std::get_if<SendOrders>(&effect)) {
         auto answered = [this, gen, id = orders->machine, batch = orders->batch](HttpReply&& r) {
             if (gen != generation_) return;
+            if (r.status != 0) workers_heard_ = now();
             OrdersAnswered c{id, batch, r.status, r.sent, std::nullopt};
             if (r.status == 200 || r.status == 409) c.report = codec::report(r.body);
             push(std::move(c));
@@ -251,7 +260,12 @@
 
 void Node::store_request(const char* method, const std::string& path, std::string body, double timeout_s,
                          HttpClient::Callback done) {
-    store_.request(s_.state.str(), method, path, std::move(body), timeout_s, std::move(done));
+    store_.request(s_.state.str(), method, path, std::move(body), timeout_s,
+                   [this, done = std::move(done)](HttpReply&& r) {
+                       if (r.status == 503 || (r.status == 0 && r.sent)) store_fails_ = true;
+                       else if (r.status != 0) store_fails_ = false;
+                       done(std::move(r));
+                   });
 }
 
 void Node::cloud_request(const char* method, std::string path, std::string body, HttpClient::Callback done) {
@@ -347,6 +361,7 @@
     if (!r.path.starts_with(peer_prefix)) return res.send(404, error_body("no such path"));
     r.path.erase(0, std::string_view(peer_prefix).size());
     if (r.path == "/promise") return asked_to_promise(r, res);
+    if (r.path == "/office") return res.send(200, Json{{"holder", holder_}, {"term", office_term_}}.dump());
     serve(std::move(r), std::move(res), true);
 }
 
@@ -397,6 +412,7 @@
     }
     const auto h = ++handle_seq_;
     beats_[h] = {std::move(res), {}, now()};
+    workers_heard_ = now();
     push(Beat{std::move(*report), h});
 }
 
@@ -518,18 +534,21 @@
     auto spec = std::move(std::get<JobSpec>(parsed));
     if (!submit_budget_.take(now())) {
         ++refused_;
+        spdlog::debug("submission of {} refused, too many at once", spec.id);
         return res.send(429, not_now, retry_soon_s);
     }
-    (void)forwarded;
-    store_job(std::move(spec), std::move(res), 0);
+    store_job(std::move(spec), std::move(r), std::move(res), forwarded, 0);
 }
 
-void Node::store_job(JobSpec spec, Responder res, int tries) {
+void Node::store_job(JobSpec spec, HttpRequest&& request, Responder res, bool forwarded, int tries) {
     const double at = wall();
     const auto body = codec::txn({{"j/" + spec.id, 0}, {"f/" + spec.id, 0}},
                                  {{"j/" + spec.id, Json{{"spec", codec::to_json(spec)}, {"at", at}}, 0}});
-    store_request("POST", std::string(codec::path_txn), body, s_.report_s / 2,
-                  [this, spec = std::move(spec), res, tries, at](HttpReply&& r) mutable {
+    // Where the store does not answer this node, another may still be served within the user's time.
+    const double patience = forwarded ? s_.report_s / 2 : s_.report_s / 10;
+    store_request("POST", std::string(codec::path_txn), body, patience,
+                  [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries,
+                   at](HttpReply&& r) mutable {
                       const auto id = spec.id;
                       if (r.status == 200) {
                           if (core_ && office_ == Office::held) {
@@ -546,13 +565,19 @@
                       }
                       // The budget is shared: a moment later there may be room.
                       if (r.status == 429 && tries < 3) {
-                          after(0.05 * (1 + tries), [this, spec = std::move(spec), res, tries]() mutable {
-                              store_job(std::move(spec), res, tries + 1);
+                          after(0.05 * (1 + tries), [this, spec = std::move(spec), request = std::move(request), res,
+                                                     forwarded, tries]() mutable {
+                              store_job(std::move(spec), std::move(request), res, forwarded, tries + 1);
                           });
                           return;
                       }
-                      ++refused_;
-                      res.send(503, not_now, retry_soon_s);
+                      const auto refuse = [this, id, status = r.status](const Responder& x) {
+                          ++refused_;
+                          spdlog::debug("submission of {} refused, the store said {}", id, status);
+                          x.send(503, not_now, retry_soon_s);
+                      };
+                      if (forwarded || r.status == 429) return refuse(res);
+                      forward(std::move(request), res, refuse);
                   });
 }
 
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -11,6 +11,7 @@
 constexpr const char* office_key = "office";
 constexpr const char* round_key = "round";
 constexpr const char* peer_promise = "/peer/promise";
+constexpr const char* peer_office = "/peer/office";
 
 std::string read_path(const std::string& key) {
     return std::string(codec::path_store) + "/" + key;
@@ -40,11 +41,15 @@
         holder_.clear();
         spdlog::debug("the office is free{}", tenancy_.may_take(now()) ? "" : ", but we promised to wait");
         if (!tenancy_.may_take(now())) return again(std::max(0.01, tenancy_.not_before() - now()));
+        if (now() < resting_until_) return again(s_.report_s / 6);
         acquire();
         return;
     }
     const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt;
-    if (!item || !item->value.is_object()) return again(s_.report_s / 6);
+    if (!item || !item->value.is_object()) {
+        ask_for_holder();
+        return again(s_.report_s / 6);
+    }
     const auto name = item->value.value("node", std::string());
     if (name == s_.name) {
         // We have just started: the process that held the office under our name is dead.
@@ -57,6 +62,7 @@
     }
     if (name != holder_) spdlog::info("the office is held by {}", name);
     holder_ = name;
+    office_term_ = item->value.value("term", std::uint64_t{0});
     const double block = s_.report_s;
     follow_.request(s_.state.str(), "GET",
                     fmt::format("{}?under={}&since={}&blockMs={}", codec::path_follow, office_key, item->stamp,
@@ -67,6 +73,22 @@
                     });
 }
 
+// While the store does not answer this node, the others may know who holds the office. It is only a
+// hint, for passing on requests and sending workers to the right place.
+void Node::ask_for_holder() {
+    for (const auto& p : s_.peers)
+        peer_client_.request(p.addr.str(), "GET", peer_office, "", s_.report_s / 4, [this](HttpReply&& r) {
+            const auto j = r.status == 200 ? codec::parse(r.body) : Json();
+            if (!j.is_object() || !j.contains("holder") || !j["holder"].is_string()) return;
+            const auto name = j["holder"].get<std::string>();
+            const auto term = j.value("term", std::uint64_t{0});
+            if (office_ != Office::standby || name.empty() || name == s_.name || term < office_term_) return;
+            if (name != holder_) spdlog::info("the office is held by {}, says a peer", name);
+            holder_ = name;
+            office_term_ = term;
+        });
+}
+
 void Node::acquire() {
     office_ = Office::acquiring;
     const auto gen = ++generation_;
@@ -147,6 +169,8 @@
 void Node::take_office() {
     office_ = Office::loading;
     holder_ = s_.name;
+    office_term_ = term_;
+    office_at_ = now();
     tenancy_.begin();
     tenancy_.hold_extended(hold_sent_); // counted from when it was asked for
     carried_ = false;
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -12,6 +12,7 @@
 constexpr double moved_share = 0.004;
 
 constexpr double loss_weight = 0.05; // seconds a replica may wait for each CPU second not lost
+constexpr double late_start = 15;    // cost of a place where the start is too late for the aim of its class
 constexpr double good_place_s = 18;  // cost of a place that is good enough not to look further
 
 std::uint32_t half_up(std::uint32_t n) {
@@ -91,7 +92,11 @@
             ready = c.ready;
             coming = now_ - c.used < 2 * j.spec.image_gb / t.fetch_gb_per_s;
         }
-    if (!ready) cost += j.spec.image_gb / t.fetch_gb_per_s * (coming ? 0.5 : 1);
+    if (!ready) {
+        const double fetch = j.spec.image_gb / t.fetch_gb_per_s * (coming ? 0.5 : 1);
+        cost += fetch;
+        if (j.start_within_s >= 0 && fetch > j.start_within_s) cost += late_start;
+    }
     if (j.spec.spot && !m.spot) cost += 2;
     const bool lasting = j.spec.shape == Shape::service;
     if (lasting != is_pool(m)) cost += lasting ? 15 : 4;
