--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -11,6 +11,7 @@
 // Beyond the paper's caps, which are for a cluster of a dozen machines: of all replicas, a round.
 constexpr double moved_share = 0.004;
 
+constexpr double start_counts_s = 31; // stopped by command sooner, a task does not count as started
 constexpr double loss_weight = 0.05; // seconds a replica may wait for each CPU second not lost
 constexpr double late_start = 15;    // cost of a place where the start is too late for the aim of its class
 constexpr double good_place_s = 18;  // cost of a place that is good enough not to look further
@@ -516,9 +517,10 @@
     ++moved_;
 }
 
-// Only service tasks, or tasks of no gang that are under a minute old, are moved.
+// Only service tasks, or tasks of no gang that are under a minute old, are moved; and none before
+// its start counts for its user.
 bool Core::movable(const Entry& e) const {
-    return !e.stop && e.phase == Phase::running && e.job->final == Final::none &&
+    return !e.stop && e.phase == Phase::running && now_ - e.running_at > start_counts_s && e.job->final == Final::none &&
            (e.job->spec.shape == Shape::service || (e.job->spec.shape == Shape::array && now_ - e.placed_at < 60));
 }
 
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -99,6 +99,13 @@
     }
     load_earlier(stored);
     for (auto& [id, j] : jobs_) {
+        // What runs or is done does not wait: on a day with many takeovers machines were rented for it.
+        std::erase_if(j->pending, [&](std::uint32_t i) {
+            auto& t = j->tasks[i];
+            if (!t.done && t.live == 0) return false;
+            t.queued = false;
+            return true;
+        });
         if (j->spec.shape == Shape::gang && j->live > 0) {
             for (const auto* e : j->entries) j->gang_try = std::max(j->gang_try, e->try_no);
             if (j->live < j->spec.tasks - j->done) break_gang(*j);
--- a/tests/test_records.cpp
+++ b/tests/test_records.cpp
@@ -97,6 +97,19 @@
     EXPECT_EQ(l.within(2), 2);
 }
 
+// From vagonplan-ops-grown troubles: after each takeover machines were rented for tasks that ran.
+TEST(Records, NothingIsRentedForWhatRunsAlready) {
+    const auto settings = small_settings();
+    auto stored = one_job(job(1, Shape::gang, 4, 8));
+    stored.intents.push_back({"i/0", {{"t", "n-1 a 1 wk-000001/0:5\nn-2 a 1 wk-000001/1:5\nn-3 a 1 wk-000001/2:5\n"
+                                            "n-4 a 1 wk-000001/3:5"}},
+                              1, false});
+    Core core(settings, 7, stored, 0, 0);
+    for (double t = 0.1; t < settings.lease_s; t += 0.2)
+        for (const auto& e : step(core, t, {TypesKnown{small_types()}}))
+            EXPECT_FALSE(std::holds_alternative<Rent>(e)) << "at " << t;
+}
+
 TEST(Records, TheEarlierLayoutIsReadAndRemoved) {
     const auto settings = small_settings();
     auto stored = one_job(job(1, Shape::array, 4, 1));
