Gangs weigh free room against room made where their image is, and keep to their choice

Without the last part one gang stopped work on ever more machines for 60 s (steady 0.87), found in the log.

--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -208,6 +208,7 @@
         double known_since = 0, up_since = -1;
         std::vector<std::unique_ptr<Entry>> entries;
         Resources used, whole;
+        Resources firm; // used by what nothing takes the place of
         bool retiring = false; // to become empty and go back
         bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
         double release_retry = 0;
@@ -317,12 +318,12 @@
         Machine* machine = nullptr;
         std::vector<Entry*> victims;
         int tasks = 0;
+        bool ready = false; // there already
         double cost = 0;
     };
-    Room room_on(Machine& m, const Job& j, int most) const;
+    Room room_on(Machine& m, const Job& j, int most, double loss_weight) const;
     void take_room(const Room& r, const Job& j);
     int make_room(Job& j, double cap);
-    bool make_room_for_gang(Job& j);
     double loss_of(const Entry& e) const;
     using Planned = std::unordered_map<const Machine*, Resources>; // room a round has given away
     [[nodiscard]] bool movable(const Entry& e) const;
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -258,6 +258,7 @@
     j.entries.push_back(&e);
     put_in_slot(e, -1);
     m.used += j.spec.each;
+    if (j.spec.shape != Shape::array) m.firm += j.spec.each;
     m.empty_since = -1;
     ++j.live;
     ++j.tasks[index].live;
@@ -284,8 +285,9 @@
     m.entries.pop_back();
     const Entry& e = *owned;
     m.used -= j.spec.each;
+    if (j.spec.shape != Shape::array) m.firm -= j.spec.each;
     if (m.entries.empty()) {
-        m.used = {};
+        m.used = m.firm = {};
         m.empty_since = now_;
     }
     --j.live;
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -12,7 +12,9 @@
 constexpr double moved_share = 0.004;
 
 constexpr double start_counts_s = 31; // stopped by command sooner, a task does not count as started
-constexpr double loss_weight = 0.05; // seconds a replica may wait for each CPU second not lost
+// Seconds that a task may wait for each CPU second of other work not lost.
+constexpr double chosen_already = 1000;
+constexpr double replica_loss_weight = 0.05, gang_loss_weight = 0.01;
 constexpr double late_start = 15;    // cost of a place where the start is too late for the aim of its class
 constexpr double good_place_s = 18;  // cost of a place that is good enough not to look further
 
@@ -288,45 +290,6 @@
     return placed;
 }
 
-// A gang goes whole or waits; with one_zone, the zone that takes all of it at least cost.
-bool Core::place_gang(Job& j) {
-    if (j.live > 0 || quota_room(j) < static_cast<int>(j.spec.tasks)) return false;
-    std::vector<Machine*> best;
-    double best_cost = 1e18;
-    const int tries = j.spec.one_zone ? static_cast<int>(s_.zones.size()) : 1;
-    for (int z = 0; z < tries; ++z) {
-        std::vector<std::pair<double, Machine*>> order;
-        for (auto& [id, m] : machines_)
-            if ((!j.spec.one_zone || m->zone == z) && usable(*m, j) && j.spec.each.fits(m->whole - m->used))
-                order.emplace_back(placement_cost(*m, j) + placement::fragmentation(m->whole - m->used - j.spec.each,
-                                                                                    m->whole, common_shape_),
-                                   m.get());
-        std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-        std::vector<Machine*> chosen;
-        std::vector<std::uint32_t> zone(s_.zones.size());
-        double cost = 0;
-        for (auto& [c, m] : order) {
-            auto free = m->whole - m->used;
-            while (chosen.size() < j.spec.tasks && j.spec.each.fits(free)) {
-                auto& in_zone = zone[static_cast<std::size_t>(m->zone)];
-                if (j.spec.spread && in_zone >= half_up(j.spec.tasks)) break;
-                ++in_zone;
-                chosen.push_back(m);
-                free -= j.spec.each;
-                cost += c;
-            }
-        }
-        if (chosen.size() == j.spec.tasks && cost < best_cost) {
-            best = std::move(chosen);
-            best_cost = cost;
-        }
-    }
-    if (best.empty()) return false;
-    j.gang_breaking = false;
-    for (auto* m : best) place(j, *m);
-    return true;
-}
-
 // What is lost when a task is stopped now, in CPU seconds.
 double Core::loss_of(const Entry& e) const {
     const auto& s = e.job->spec;
@@ -335,35 +298,44 @@
     return (run + 1) * s.each.cpus;
 }
 
-// The room that stopping work of lower rank would make on one machine, lowest loss first.
-Core::Room Core::room_on(Machine& m, const Job& j, int most) const {
+// Room for some tasks on one machine: what is free, else what stopping work of lower rank would make,
+// lowest loss first. Each CPU second lost counts as so many seconds of delay.
+Core::Room Core::room_on(Machine& m, const Job& j, int most, double loss_weight) const {
     Room r;
     r.machine = &m;
-    const bool reserved = m.reserved_for != nullptr && now_ < m.reserved_until;
-    if (reserved || !usable(m, j) || !j.spec.each.fits(m.whole)) return r;
-    std::vector<std::pair<double, Entry*>> order;
-    auto free = m.whole - m.used;
-    for (const auto& e : m.entries) {
-        const auto& v = e->job->spec;
-        if (e->stop) free += v.each;
-        else if (v.rank > j.spec.rank && v.shape == Shape::array) order.emplace_back(loss_of(*e), e.get());
-    }
-    std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    const auto fits = [&] {
+    if (!j.spec.each.fits(m.whole - m.firm) || !usable(m, j)) return r;
+    if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until) return r;
+    const auto fits = [&](Resources left) {
         int n = 0;
-        for (auto left = free; n < most && j.spec.each.fits(left); ++n) left -= j.spec.each;
+        for (; n < most && j.spec.each.fits(left); ++n) left -= j.spec.each;
         return n;
     };
-    r.tasks = fits();
+    auto free = m.whole - m.used;
     double loss = 0;
-    for (const auto& [l, e] : order) {
-        if (r.tasks >= most) break;
-        free += e->job->spec.each;
-        loss += l;
-        r.victims.push_back(e);
-        r.tasks = fits();
+    r.tasks = fits(free);
+    r.ready = r.tasks > 0;
+    if (!r.ready) {
+        std::vector<std::pair<double, Entry*>> order;
+        for (const auto& e : m.entries) {
+            const auto& v = e->job->spec;
+            if (e->stop) free += v.each;
+            else if (v.rank > j.spec.rank && v.shape == Shape::array) order.emplace_back(loss_of(*e), e.get());
+        }
+        std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+        r.tasks = fits(free);
+        for (const auto& [l, e] : order) {
+            if (r.tasks >= most) break;
+            free += e->job->spec.each;
+            loss += l;
+            r.victims.push_back(e);
+            r.tasks = fits(free);
+        }
     }
-    if (r.tasks > 0) r.cost = placement_cost(m, j) + loss_weight * loss / r.tasks;
+    if (r.tasks > 0)
+        r.cost = placement_cost(m, j) + loss_weight * loss / r.tasks +
+                 placement::fragmentation(free - j.spec.each, m.whole, common_shape_);
+    // Room that is being made stays the choice, or work would be stopped on ever more machines.
+    if (m.reserved_for == &j && now_ < m.reserved_until) r.cost -= chosen_already;
     return r;
 }
 
@@ -385,7 +357,8 @@
     int left = std::min(static_cast<int>(j.pending.size()), quota_room(j)), made = 0;
     std::vector<Room> rooms;
     for (auto& [id, m] : machines_)
-        if (auto r = room_on(*m, j, left); r.tasks > 0 && !r.victims.empty() && r.cost < cap) rooms.push_back(std::move(r));
+        if (auto r = room_on(*m, j, left, replica_loss_weight); r.tasks > 0 && !r.victims.empty() && r.cost < cap)
+            rooms.push_back(std::move(r));
     std::sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) { return a.cost < b.cost; });
     for (const auto& r : rooms) {
         if (left <= 0) break;
@@ -400,33 +373,53 @@
     return made;
 }
 
-// For a gang all its room or none: half of it would help nobody and keep it from others.
-bool Core::make_room_for_gang(Job& j) {
+// A gang goes whole or waits; with one_zone, into the zone that takes all of it at least cost. Where
+// work of lower rank is in the way, all its room is made or none: half of it would help nobody and
+// keep it from others.
+bool Core::place_gang(Job& j) {
     const int tasks = static_cast<int>(j.spec.tasks);
-    if (j.live > 0 || quota_room(j) < tasks) return false;
+    if (j.live > 0 || now_ < j.room_until || quota_room(j) < tasks) return false;
+    j.room_until = now_ + s_.report_s / 10; // looking at all machines takes time
     std::vector<Room> best;
     double best_cost = 1e18;
+    const bool may_stop = j.spec.rank <= Rank::high;
     const int tries = j.spec.one_zone ? static_cast<int>(s_.zones.size()) : 1;
     for (int z = 0; z < tries; ++z) {
         std::vector<Room> rooms;
         for (auto& [id, m] : machines_)
             if (!j.spec.one_zone || m->zone == z)
-                if (auto r = room_on(*m, j, tasks); r.tasks > 0) rooms.push_back(std::move(r));
+                if (auto r = room_on(*m, j, tasks, gang_loss_weight); r.tasks > 0 && (r.ready || may_stop))
+                    rooms.push_back(std::move(r));
         std::sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) { return a.cost < b.cost; });
-        int made = 0;
+        std::vector<std::uint32_t> zone(s_.zones.size());
+        std::vector<Room> chosen;
+        int left = tasks;
         double cost = 0;
-        std::size_t used = 0;
-        while (used < rooms.size() && made < tasks) {
-            made += rooms[used].tasks;
-            cost += rooms[used++].cost;
+        for (auto& r : rooms) {
+            auto& in_zone = zone[static_cast<std::size_t>(r.machine->zone)];
+            const int most = j.spec.spread ? static_cast<int>(half_up(j.spec.tasks) - in_zone) : left;
+            r.tasks = std::min({r.tasks, left, most});
+            if (r.tasks <= 0) continue;
+            in_zone += static_cast<std::uint32_t>(r.tasks);
+            left -= r.tasks;
+            cost += r.cost * r.tasks;
+            chosen.push_back(std::move(r));
+            if (left == 0) break;
         }
-        if (made < tasks || cost >= best_cost) continue;
-        rooms.resize(used);
-        best = std::move(rooms);
+        if (left > 0 || cost >= best_cost) continue;
+        best = std::move(chosen);
         best_cost = cost;
     }
-    for (const auto& r : best) take_room(r, j);
-    return !best.empty();
+    if (best.empty()) return false;
+    const bool ready = std::all_of(best.begin(), best.end(), [](const Room& r) { return r.ready; });
+    if (!ready) {
+        for (const auto& r : best) take_room(r, j);
+        return false;
+    }
+    j.gang_breaking = false;
+    for (const auto& r : best)
+        for (int n = 0; n < r.tasks; ++n) place(j, *r.machine);
+    return true;
 }
 
 void Core::schedule() {
@@ -471,10 +464,9 @@
         if (j.pending.empty() || j.live == j.spec.tasks) continue;
         if (budget <= 0) break;
         if (plain && j.spec.shape != Shape::gang && quota_room(j) > 0) failed.push_back({j.spec.each, j.spec.spot});
-        if (j.spec.rank <= Rank::high && now_ >= j.room_until) {
+        if (j.spec.shape != Shape::gang && j.spec.rank <= Rank::high && now_ >= j.room_until) {
             j.room_until = now_ + s_.report_s / 2;
-            if (j.spec.shape == Shape::gang) make_room_for_gang(j);
-            else make_room(j, 1e18);
+            make_room(j, 1e18);
         }
     }
     if (budget <= 0) dirty_ = true;
