--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -348,6 +348,7 @@
     std::string cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear, Pending& out) const;
     void plan_capacity();
     Machine* keep_again(const Job& j);
+    static bool is_ready(const Machine& m);
     void queue_rentals(std::map<std::string, Pending>& wanted);
     void plan_shrink();
     void return_machines();
@@ -412,7 +413,7 @@
     std::map<std::string, Pending> rentals_;
     std::map<std::string, double> no_capacity_; // "type/zone/kind" -> not before
     Resources common_shape_, service_shape_;
-    double offered_ = 0, offered_at_ = 0;
+    double offered_ = 0, offered_at_ = 0, keep_ready_ = 0;
     double ran_s_ = 1, estimated_s_ = 1; // of tasks done lately
     [[nodiscard]] double bias() const { return std::clamp(ran_s_ / estimated_s_, 0.3, 3.0); }
     std::uint64_t launched_ = 0, lost_ = 0, preempted_ = 0, committed_ = 0, moved_ = 0;
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -139,15 +139,15 @@
     std::vector<Coming> coming;
     std::map<std::string, int> in_zone;
     double have = 0; // CPUs that arrays have or will have
+    int ready = 0;   // machines that a gang may have, if need be by taking the place of arrays
     for (const auto& [id, m] : machines_) {
         if (m->status != Status::lost) ++in_zone[m->zone_name];
         const auto* t = type_of(m->type_name);
         if (m->status == Status::booting && t != nullptr && !m->releasing && now_ - m->known_since < 3 * t->boot_s)
             coming.push_back({t->room, t, m->zone_name, m->spot});
         if (!serves(*m) || m->retiring) continue;
-        have += m->whole.cpus;
-        for (const auto& e : m->entries)
-            if (e->job->spec.shape != Shape::array) have -= e->job->spec.each.cpus;
+        have += m->whole.cpus - m->firm.cpus;
+        ready += is_ready(*m);
     }
     for (const auto& [claim, p] : rentals_) {
         in_zone[p.zone] += p.count;
@@ -158,28 +158,27 @@
     const double need = array_need() * spare;
 
     std::map<std::string, Pending> wanted;
-    for (auto* j : waiting_jobs()) {
-        const bool array = j->spec.shape == Shape::array;
-        int left = std::min(static_cast<int>(j->pending.size()), quota_room(*j));
+    auto source_for = [&](const Job& j, int left) {
+        const bool array = j.spec.shape == Shape::array;
         for (int guard = 0; left > 0 && guard < 200; ++guard) {
             for (auto& c : coming) {
                 if (left <= 0) break;
-                if ((c.spot && !j->spec.spot) || !allows(j->spec.types, c.type->name)) continue;
-                if (!j->spec.zone.empty() && j->spec.zone != c.zone) continue;
-                const int n = std::min(left, static_cast<int>(std::max(0.0, fit_of(j->spec.each, c.free))));
-                c.free -= j->spec.each * n;
+                if ((c.spot && !j.spec.spot) || !allows(j.spec.types, c.type->name)) continue;
+                if (!j.spec.zone.empty() && j.spec.zone != c.zone) continue;
+                const int n = std::min(left, static_cast<int>(std::max(0.0, fit_of(j.spec.each, c.free))));
+                c.free -= j.spec.each * n;
                 left -= n;
             }
             // A machine on its way out is up already and costs no boot.
             while (left > 0 && (!array || have < need)) {
-                auto* m = keep_again(*j);
+                auto* m = keep_again(j);
                 if (m == nullptr) break;
                 have += m->whole.cpus;
-                left -= static_cast<int>(fit_of(j->spec.each, m->whole - m->used));
+                left -= static_cast<int>(fit_of(j.spec.each, m->whole - m->firm));
             }
             if (left <= 0) break;
             Pending source;
-            const auto key = cheapest_source(*j, in_zone, !array || have < need, source);
+            const auto key = cheapest_source(j, in_zone, !array || have < need, source);
             if (key.empty()) break;
             auto& w = wanted[key];
             if (w.type.empty()) w = source;
@@ -190,17 +189,37 @@
             have += t->room.cpus;
             coming.push_back({t->room, t, source.zone, source.spot});
         }
+    };
+    const Job* gang = nullptr;
+    for (auto* j : waiting_jobs()) {
+        int left = std::min(static_cast<int>(j->pending.size()), quota_room(*j));
+        if (j->spec.shape == Shape::gang && j->spec.each.gpus > 0) {
+            const int n = std::min(left, ready);
+            left -= n;
+            ready -= n;
+        }
+        source_for(*j, left);
     }
+    // Machines that boot for longer than a gang may wait must be there before it comes.
+    for (const auto& [id, j] : jobs_)
+        if (j->spec.shape == Shape::gang && j->spec.each.gpus > 0 && j->final == Final::none) gang = j.get();
+    if (gang != nullptr) source_for(*gang, static_cast<int>(keep_ready_) - ready);
     queue_rentals(wanted);
 }
 
+// A machine that a gang may have: without a gang, whatever else runs there.
+bool Core::is_ready(const Machine& m) {
+    return m.whole.gpus > 0 && !m.spot && m.firm.gpus <= 0;
+}
+
 // The fullest machine on its way out that can take a task of the job is kept after all.
 Core::Machine* Core::keep_again(const Job& j) {
     Machine* best = nullptr;
     for (auto& [id, m] : machines_) {
         if (!m->retiring || m->releasing) continue;
         m->retiring = false;
-        const bool good = usable(*m, j) && j.spec.each.fits(m->whole - m->used);
+        const bool gang = j.spec.shape == Shape::gang;
+        const bool good = usable(*m, j) && j.spec.each.fits(m->whole - (gang ? m->firm : m->used));
         m->retiring = true;
         if (good && (best == nullptr || m->used.cpus > best->used.cpus)) best = m.get();
     }
@@ -243,7 +262,7 @@
         have += m->whole.cpus;
         need += services + gangs;
         gang_machines += gangs > 0;
-        ready += m->whole.gpus > 0 && !m->spot && gangs <= 0;
+        ready += is_ready(*m);
         if (m->pool) need += service_shape_.cpus * 2; // what usable() leaves free there
         lasting[m.get()] = services;
         const bool paid = now_ - m->known_since < least_charged_s;
@@ -267,11 +286,11 @@
         if (a->used.cpus != b->used.cpus) return a->used.cpus < b->used.cpus;
         return a->id > b->id;
     });
-    const double keep_ready = gang_machines * spare_gangs + largest_gang;
+    keep_ready_ = gang_machines * spare_gangs + largest_gang;
     for (auto* m : list) {
         if (have - m->whole.cpus < need) return;
         if (m->whole.gpus > 0 && !m->spot) {
-            if (ready - 1 < keep_ready) continue;
+            if (ready - 1 < keep_ready_) continue;
             --ready;
         }
         have -= m->whole.cpus;
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -90,14 +90,20 @@
     const auto& t = types_[static_cast<std::size_t>(m.type)];
     double cost = 0;
     bool coming = false, ready = false;
-    for (const auto& c : m.images)
+    double others = 0; // being fetched at the same time, which share the rate
+    for (const auto& c : m.images) {
+        const double gb = image_gb_[static_cast<std::size_t>(c.image)];
+        const bool under_way = !c.ready && now_ - c.used < 2 * gb / t.fetch_gb_per_s;
         if (c.image == j.image) {
             ready = c.ready;
-            coming = now_ - c.used < 2 * j.spec.image_gb / t.fetch_gb_per_s;
+            coming = under_way;
+        } else if (under_way) {
+            others += gb / t.fetch_gb_per_s;
         }
+    }
     if (!ready) {
         const double fetch = j.spec.image_gb / t.fetch_gb_per_s * (coming ? 0.5 : 1);
-        cost += fetch;
+        cost += fetch + std::min(others, fetch);
         if (j.start_within_s >= 0 && fetch > j.start_within_s) cost += late_start;
     }
     if (j.spec.spot && !m.spot) cost += 2;
