--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -108,11 +108,11 @@
 
 // What the store holds at a takeover.
 struct Snapshot {
-    std::vector<codec::Item> jobs, intents, progress;
+    std::vector<codec::Item> jobs, intents, progress, images;
     std::vector<codec::Item> earlier; // of the layout before: a record a machine, one a job
 };
 
-inline constexpr int most_rented = 50;            // by one request
+inline constexpr int most_rented = 50; // by one request
 inline constexpr std::size_t most_returned = 100;
 inline constexpr int fence_bits = 24; // fence = term << fence_bits | raises within the term
 inline constexpr int try_bits = 32;   // attempt = term << try_bits | passes within the term
@@ -169,7 +169,7 @@
     struct Job {
         JobSpec spec;
         int team = -1, image = -1;
-        std::size_t bucket = 0; // of the progress records
+        std::size_t bucket = 0;                    // of the progress records
         double submitted = 0, start_within_s = -1; // the aim of its class, below zero: none
         std::vector<Task> tasks;
         std::deque<std::uint32_t> pending;
@@ -208,7 +208,7 @@
         double known_since = 0, up_since = -1;
         std::vector<std::unique_ptr<Entry>> entries;
         Resources used, whole;
-        Resources firm; // used by what nothing takes the place of
+        Resources firm;        // used by what nothing takes the place of
         bool retiring = false; // to become empty and go back
         bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
         double release_retry = 0;
@@ -298,6 +298,8 @@
     static std::string slot_text(std::vector<Entry*> list);
     void draft_slot(Draft& d, std::size_t slot);
     void draft_progress(Draft& d);
+    void draft_images(Draft& d);
+    void load_images(const codec::Item& i);
     void put_in_slot(Entry& e, int slot);
     void leave_slot(Entry& e);
 
@@ -405,6 +407,9 @@
     std::uint64_t report_seq_ = 0;
     std::unordered_map<std::string, int> image_ids_;
     std::vector<double> image_gb_;
+    std::unordered_map<std::string, std::vector<int>> image_hints_; // of machines not known yet
+    std::size_t image_part_ = 0, image_parts_ = 1;
+    double next_images_ = 0;
     // Machines whose records were damaged: until they have reported to us or their leases have
     // surely lapsed, any task read at the takeover may be on them.
     std::set<std::string> unproven_;
@@ -415,7 +420,9 @@
     Resources common_shape_, service_shape_;
     double offered_ = 0, offered_at_ = 0, keep_ready_ = 0;
     double ran_s_ = 1, estimated_s_ = 1; // of tasks done lately
-    [[nodiscard]] double bias() const { return std::clamp(ran_s_ / estimated_s_, 0.3, 3.0); }
+    [[nodiscard]] double bias() const {
+        return std::clamp(ran_s_ / estimated_s_, 0.3, 3.0);
+    }
     std::uint64_t launched_ = 0, lost_ = 0, preempted_ = 0, committed_ = 0, moved_ = 0;
 };
 
--- a/include/heronshift/tenancy.hpp
+++ b/include/heronshift/tenancy.hpp
@@ -16,25 +16,43 @@
     // The hold's length, how many other controllers there are, and when this process started.
     Tenancy(double ttl_s, std::size_t peers, double now);
 
-    [[nodiscard]] double ttl_s() const { return ttl_s_; }
-    [[nodiscard]] double promise_s() const { return ttl_s_ / 2; }
+    [[nodiscard]] double ttl_s() const {
+        return ttl_s_;
+    }
+    [[nodiscard]] double promise_s() const {
+        return ttl_s_ / 2;
+    }
 
     // As holder.
-    void begin() { hold_until_ = promised_until_ = 0, promises_.clear(); }
-    void hold_extended(double sent);                                   // the store has said so
+    void begin() {
+        hold_until_ = promised_until_ = 0, promises_.clear();
+    }
+    void hold_extended(double sent);                                 // the store has said so
     bool promised(const std::string& peer, double sent, double now); // true: all carry us on
-    [[nodiscard]] bool valid(double now) const { return now < until(); }
-    [[nodiscard]] double until() const { return hold_until_ > promised_until_ ? hold_until_ : promised_until_; }
+    [[nodiscard]] bool valid(double now) const {
+        return now < until();
+    }
+    [[nodiscard]] double until() const {
+        return hold_until_ > promised_until_ ? hold_until_ : promised_until_;
+    }
     // Promises are asked for while the hold is not being renewed.
     [[nodiscard]] bool wants_promises(double now) const;
 
     // As one of the others.
-    [[nodiscard]] bool may_take(double now) const { return now >= not_before_; }
-    [[nodiscard]] double not_before() const { return not_before_; }
+    [[nodiscard]] bool may_take(double now) const {
+        return now >= not_before_;
+    }
+    [[nodiscard]] double not_before() const {
+        return not_before_;
+    }
     // The office stood under our own name: its process, which this node was, has ended.
-    void found_own_name() { not_before_ = 0; }
+    void found_own_name() {
+        not_before_ = 0;
+    }
     // The outcome of an attempt to take it is open: it may still be applied while its hold lives.
-    void attempt_unresolved() { doubt_ = true, served_since_ = -1; }
+    void attempt_unresolved() {
+        doubt_ = true, served_since_ = -1;
+    }
     // A read by this node; after some time without a failure, no hold of an attempt can be left.
     void store_read(bool ok, double now);
     // Gives the promise if it may be given; store_failed: a read made for it has just failed.
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -8,12 +8,12 @@
 namespace heronshift {
 namespace {
 
-constexpr double least_charged_s = 60;  // a machine costs at least this, so it is not given back before
-constexpr double cheap_ratio = 1.5;     // of the lowest price a CPU second: such machines are always worth renting
-constexpr double window_used = 0.4;     // of the time an array has left, since estimates are often wrong by half
-constexpr double spare = 1.15;          // of what arrays need, kept
-constexpr double offered_leases = 3;    // lengths of a lease over which offered work is averaged
-constexpr double spare_gangs = 0.25;    // of the machines in use by gangs, kept free of gangs
+constexpr double least_charged_s = 60; // a machine costs at least this, so it is not given back before
+constexpr double cheap_ratio = 1.5;    // of the lowest price a CPU second: such machines are always worth renting
+constexpr double window_used = 0.4;    // of the time an array has left, since estimates are often wrong by half
+constexpr double spare = 1.15;         // of what arrays need, kept
+constexpr double offered_leases = 3;   // lengths of a lease over which offered work is averaged
+constexpr double spare_gangs = 0.25;   // of the machines in use by gangs, kept free of gangs
 
 template <class V> bool allows(const std::vector<std::string>& list, const V& name) {
     return list.empty() || std::find(list.begin(), list.end(), name) != list.end();
@@ -97,7 +97,8 @@
 }
 
 // The cheapest kind of machine that a job's task may use and that may be had.
-std::string Core::cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear, Pending& out) const {
+std::string Core::cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear,
+                                  Pending& out) const {
     double best = 1e18, lowest = 1e18;
     std::string key;
     for (const auto& t : types_) {
@@ -275,8 +276,8 @@
         if (j->spec.shape == Shape::gang) largest_gang = std::max(largest_gang, static_cast<double>(j->spec.tasks));
     }
     const double arrays = std::max(array_need(), offered());
-    note(0, fmt::format("capacity: {:.0f} CPUs, {:.0f} for services and gangs, arrays need {:.0f} and bring {:.0f}", have,
-                        need, array_need(), offered()));
+    note(0, fmt::format("capacity: {:.0f} CPUs, {:.0f} for services and gangs, arrays need {:.0f} and bring {:.0f}",
+                        have, need, array_need(), offered()));
     need += arrays * spare;
     std::sort(list.begin(), list.end(), [&](const Machine* a, const Machine* b) {
         const double pa = price_per_cpu(types_[static_cast<std::size_t>(a->type)], a->spot);
@@ -349,13 +350,15 @@
                                                   : s.arrays) += e->job->spec.each.cpus;
     }
     for (const auto& [kind, s] : kinds)
-        note(0, fmt::format("fleet: {}: {} up ({} pool, {} empty), {} booting, of {:.0f} CPUs {:.0f} in services, {:.0f} "
-                            "in gangs, {:.0f} in arrays",
-                            kind, s.up, s.pool, s.empty, s.booting, s.room, s.services, s.gangs, s.arrays));
+        note(0,
+             fmt::format("fleet: {}: {} up ({} pool, {} empty), {} booting, of {:.0f} CPUs {:.0f} in services, {:.0f} "
+                         "in gangs, {:.0f} in arrays",
+                         kind, s.up, s.pool, s.empty, s.booting, s.room, s.services, s.gangs, s.arrays));
     std::map<Rank, std::size_t> waiting;
     for (const auto& [id, j] : jobs_)
         if (j->final == Final::none) waiting[j->spec.rank] += j->pending.size();
-    for (const auto& [rank, n] : waiting) note(0, fmt::format("waiting: {} tasks of rank {}", n, static_cast<int>(rank)));
+    for (const auto& [rank, n] : waiting)
+        note(0, fmt::format("waiting: {} tasks of rank {}", n, static_cast<int>(rank)));
 }
 
 } // namespace heronshift
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -10,7 +10,7 @@
 // Steady clocks drift apart by up to 0.05%; twice that, and some for timer steps.
 constexpr double drift = 1.001;
 constexpr double lapse_margin_reports = 0.05; // of report_s
-constexpr std::size_t most_orders = 200;     // to a machine at once
+constexpr std::size_t most_orders = 200;      // to a machine at once
 
 } // namespace
 
@@ -56,6 +56,10 @@
         slot->id = id;
         slot->known_since = now_;
         slot->fence = term_ << fence_bits;
+        if (const auto hint = image_hints_.find(id); hint != image_hints_.end()) {
+            for (const auto image : hint->second) slot->images.push_back({image, true, now_});
+            image_hints_.erase(hint);
+        }
     }
     if (!addr.empty()) slot->addr = addr;
     if (slot->type_name.empty() && !type.empty()) {
@@ -764,8 +768,8 @@
 }
 
 std::size_t Core::machines_up() const {
-    return static_cast<std::size_t>(
-        std::count_if(machines_.begin(), machines_.end(), [](const auto& m) { return m.second->status == Status::up; }));
+    return static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(),
+                                                  [](const auto& m) { return m.second->status == Status::up; }));
 }
 
 std::size_t Core::live_tasks(const std::string& job) const {
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -262,8 +262,10 @@
                          HttpClient::Callback done) {
     store_.request(s_.state.str(), method, path, std::move(body), timeout_s,
                    [this, done = std::move(done)](HttpReply&& r) {
-                       if (r.status == 503 || (r.status == 0 && r.sent)) store_fails_ = true;
-                       else if (r.status != 0) store_fails_ = false;
+                       if (r.status == 503 || (r.status == 0 && r.sent))
+                           store_fails_ = true;
+                       else if (r.status != 0)
+                           store_fails_ = false;
                        done(std::move(r));
                    });
 }
@@ -546,39 +548,39 @@
                                  {{"j/" + spec.id, Json{{"spec", codec::to_json(spec)}, {"at", at}}, 0}});
     // Where the store does not answer this node, another may still be served within the user's time.
     const double patience = forwarded ? s_.report_s / 2 : s_.report_s / 10;
-    store_request("POST", std::string(codec::path_txn), body, patience,
-                  [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries,
-                   at](HttpReply&& r) mutable {
-                      const auto id = spec.id;
-                      if (r.status == 200) {
-                          if (core_ && office_ == Office::held) {
-                              push(JobStored{std::move(spec), std::max(0.0, wall() - at)});
-                              arm();
-                          }
-                          return res.send(201, codec::job_answer(id, codec::status_pending));
-                      }
-                      if (r.status == 409) {
-                          return look_up(id, [id, res](Found f) {
-                              if (!f.known || f.status.empty()) return res.send(503, not_now, retry_soon_s);
-                              res.send(200, codec::job_answer(id, f.status));
-                          });
-                      }
-                      // The budget is shared: a moment later there may be room.
-                      if (r.status == 429 && tries < 3) {
-                          after(0.05 * (1 + tries), [this, spec = std::move(spec), request = std::move(request), res,
-                                                     forwarded, tries]() mutable {
-                              store_job(std::move(spec), std::move(request), res, forwarded, tries + 1);
-                          });
-                          return;
-                      }
-                      const auto refuse = [this, id, status = r.status](const Responder& x) {
-                          ++refused_;
-                          spdlog::debug("submission of {} refused, the store said {}", id, status);
-                          x.send(503, not_now, retry_soon_s);
-                      };
-                      if (forwarded || r.status == 429) return refuse(res);
-                      forward(std::move(request), res, refuse);
-                  });
+    store_request(
+        "POST", std::string(codec::path_txn), body, patience,
+        [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries, at](HttpReply&& r) mutable {
+            const auto id = spec.id;
+            if (r.status == 200) {
+                if (core_ && office_ == Office::held) {
+                    push(JobStored{std::move(spec), std::max(0.0, wall() - at)});
+                    arm();
+                }
+                return res.send(201, codec::job_answer(id, codec::status_pending));
+            }
+            if (r.status == 409) {
+                return look_up(id, [id, res](Found f) {
+                    if (!f.known || f.status.empty()) return res.send(503, not_now, retry_soon_s);
+                    res.send(200, codec::job_answer(id, f.status));
+                });
+            }
+            // The budget is shared: a moment later there may be room.
+            if (r.status == 429 && tries < 3) {
+                after(0.05 * (1 + tries),
+                      [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries]() mutable {
+                          store_job(std::move(spec), std::move(request), res, forwarded, tries + 1);
+                      });
+                return;
+            }
+            const auto refuse = [this, id, status = r.status](const Responder& x) {
+                ++refused_;
+                spdlog::debug("submission of {} refused, the store said {}", id, status);
+                x.send(503, not_now, retry_soon_s);
+            };
+            if (forwarded || r.status == 429) return refuse(res);
+            forward(std::move(request), res, refuse);
+        });
 }
 
 } // namespace heronshift
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -106,7 +106,8 @@
     };
     hold_sent_ = now();
     store_request(
-        "POST", std::string(codec::path_holds), codec::hold_request(tenancy_.ttl_s()), 1, [this, gen, fail](HttpReply&& r) {
+        "POST", std::string(codec::path_holds), codec::hold_request(tenancy_.ttl_s()), 1,
+        [this, gen, fail](HttpReply&& r) {
             if (gen != generation_) return;
             const auto hold = r.status == 200 ? codec::hold_of(r.body) : std::nullopt;
             if (!hold) return fail();
@@ -178,7 +179,7 @@
     spdlog::info("took office, term {}", term_);
     snapshot_ = {};
     // All at once: only jobs can still change, by other nodes, and those changes are followed.
-    loads_left_ = 5;
+    loads_left_ = 6;
     auto read = [this] {
         if (--loads_left_ > 0) return;
         core_ = std::make_unique<Core>(s_, term_, snapshot_, now(), wall());
@@ -195,6 +196,7 @@
     load("j/", "", &snapshot_.jobs, read);
     load("i/", "", &snapshot_.intents, read);
     load("p/", "", &snapshot_.progress, read);
+    load("c/", "", &snapshot_.images, read);
     load("m/", "", &snapshot_.earlier, read);
     load("d/", "", &snapshot_.earlier, read);
 }
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -15,8 +15,8 @@
 // Seconds that a task may wait for each CPU second of other work not lost.
 constexpr double chosen_already = 1000;
 constexpr double replica_loss_weight = 0.05, gang_loss_weight = 0.01;
-constexpr double late_start = 15;    // cost of a place where the start is too late for the aim of its class
-constexpr double good_place_s = 18;  // cost of a place that is good enough not to look further
+constexpr double late_start = 15;   // cost of a place where the start is too late for the aim of its class
+constexpr double good_place_s = 18; // cost of a place that is good enough not to look further
 
 std::uint32_t half_up(std::uint32_t n) {
     return (n + 1) / 2;
@@ -68,7 +68,8 @@
 }
 
 bool Core::usable(const Machine& m, const Job& j) const {
-    if (m.status != Status::up || m.draining || m.bad || m.releasing || m.retiring || m.type < 0 || m.zone < 0) return false;
+    if (m.status != Status::up || m.draining || m.bad || m.releasing || m.retiring || m.type < 0 || m.zone < 0)
+        return false;
     if (now_ < m.avoid_until || now_ > m.heard + 1.5 * s_.report_s) return false;
     if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until && j.spec.rank >= m.reserved_rank)
         return false;
@@ -291,8 +292,10 @@
     if (j.pending.empty()) return placed;
     if (now_ < j.room_until && j.good_room) return placed; // being made
     j.good_room = now_ >= j.room_until && make_room(j, good_place_s) > 0;
-    if (j.good_room) j.room_until = now_ + s_.report_s / 6;
-    else placed += place(1e18);
+    if (j.good_room)
+        j.room_until = now_ + s_.report_s / 6;
+    else
+        placed += place(1e18);
     return placed;
 }
 
@@ -324,8 +327,10 @@
         std::vector<std::pair<double, Entry*>> order;
         for (const auto& e : m.entries) {
             const auto& v = e->job->spec;
-            if (e->stop) free += v.each;
-            else if (v.rank > j.spec.rank && v.shape == Shape::array) order.emplace_back(loss_of(*e), e.get());
+            if (e->stop)
+                free += v.each;
+            else if (v.rank > j.spec.rank && v.shape == Shape::array)
+                order.emplace_back(loss_of(*e), e.get());
         }
         std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
         r.tasks = fits(free);
@@ -497,8 +502,7 @@
 
 // A place for one task that moves: room beyond what this round has planned there, and the image at
 // hand, so that the task is not away for long.
-Core::Machine* Core::place_to_move(const Entry& e, const std::vector<Machine*>& to,
-                                   Planned& planned) const {
+Core::Machine* Core::place_to_move(const Entry& e, const std::vector<Machine*>& to, Planned& planned) const {
     for (auto* m : to) {
         if (m == e.machine || !usable(*m, *e.job) || !has_image(*m, e.job->image)) continue;
         auto& taken = planned[m];
@@ -518,7 +522,8 @@
 // Only service tasks, or tasks of no gang that are under a minute old, are moved; and none before
 // its start counts for its user.
 bool Core::movable(const Entry& e) const {
-    return !e.stop && e.phase == Phase::running && now_ - e.running_at > start_counts_s && e.job->final == Final::none &&
+    return !e.stop && e.phase == Phase::running && now_ - e.running_at > start_counts_s &&
+           e.job->final == Final::none &&
            (e.job->spec.shape == Shape::service || (e.job->spec.shape == Shape::array && now_ - e.placed_at < 60));
 }
 
@@ -538,9 +543,12 @@
     std::vector<Machine*> pool_machines, others, leaving;
     for (auto& [id, m] : machines_) {
         if (!serves(*m)) continue;
-        if (m->retiring) leaving.push_back(m.get());
-        else if (is_pool(*m)) pool_machines.push_back(m.get());
-        else if (m->whole.gpus <= 0 && !m->spot) others.push_back(m.get());
+        if (m->retiring)
+            leaving.push_back(m.get());
+        else if (is_pool(*m))
+            pool_machines.push_back(m.get());
+        else if (m->whole.gpus <= 0 && !m->spot)
+            others.push_back(m.get());
         if (is_pool(*m)) pool += m->whole;
     }
     const auto fullest = [](const Machine* a, const Machine* b) { return a->used.cpus > b->used.cpus; };
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -73,6 +73,7 @@
             j->final_stored = true;
         }
     }
+    for (const auto& i : stored.images) load_images(i);
     for (const auto& i : stored.progress) {
         const auto n = number_of(i.key);
         if (!n || *n >= progress_records) gone_records_.push_back(i.key);
@@ -329,6 +330,55 @@
     }
 }
 
+// Which machine has which image is a hint that spares the next holder fetches; it is written now and
+// then, a part of the machines at a time.
+void Core::draft_images(Draft& d) {
+    if (now_ < next_images_ || machines_.empty() || d.full(static_cast<std::size_t>(s_.txn_ops) / 2)) return;
+    next_images_ = now_ + 2 * s_.report_s;
+    const auto digits = image_gb_.size() / 4 + 1;
+    const auto most = static_cast<std::size_t>(s_.value_kb * 1024 * record_share / 2) / (digits + 24);
+    const auto parts = machines_.size() / std::max<std::size_t>(1, most) + 1;
+    image_part_ = (image_part_ + 1) % std::max(parts, image_parts_);
+    image_parts_ = parts;
+    const auto key = fmt::format("c/{}", image_part_);
+    if (image_part_ >= parts) return d.add(key, std::nullopt, 0);
+    auto names = codec::Json::array();
+    std::vector<const std::string*> by_id(image_gb_.size());
+    for (const auto& [name, id] : image_ids_) by_id[static_cast<std::size_t>(id)] = &name;
+    for (std::size_t i = 0; i < by_id.size(); ++i) names.push_back({*by_id[i], image_gb_[i]});
+    auto held = codec::Json::object();
+    std::size_t at = 0;
+    for (const auto& [id, m] : machines_) {
+        if (at++ % parts != image_part_ || m->images.empty()) continue;
+        auto list = codec::Json::array();
+        for (const auto& c : m->images)
+            if (c.ready) list.push_back(c.image);
+        held[id] = std::move(list);
+    }
+    auto value = codec::Json{{"names", std::move(names)}, {"held", std::move(held)}};
+    const auto size = value.dump().size();
+    if (size > static_cast<std::size_t>(s_.value_kb * 1024)) return; // a hint only
+    d.add(key, std::move(value), size);
+}
+
+void Core::load_images(const codec::Item& i) {
+    if (!i.value.is_object() || !i.value.contains("names") || !i.value.contains("held")) return;
+    const auto& names = i.value["names"];
+    const auto& held = i.value["held"];
+    if (!names.is_array() || !held.is_object()) return;
+    std::vector<int> ids;
+    for (const auto& n : names) {
+        const bool good = n.is_array() && n.size() == 2 && n[0].is_string() && n[1].is_number();
+        ids.push_back(good ? image_id(n[0].get<std::string>(), n[1].get<double>()) : -1);
+    }
+    for (const auto& [id, list] : held.items()) {
+        if (!list.is_array()) continue;
+        for (const auto& k : list)
+            if (k.is_number_unsigned() && k.get<std::size_t>() < ids.size() && ids[k.get<std::size_t>()] >= 0)
+                image_hints_[id].push_back(ids[k.get<std::size_t>()]);
+    }
+}
+
 // One transaction is in flight at a time; this builds the next of what is due, most urgent first.
 void Core::collect_commit() {
     if (txn_open_ || stepped_down_) return;
@@ -351,6 +401,7 @@
         gone_records_.pop_front();
     }
     draft_progress(d);
+    draft_images(d);
     if (d.commit.writes.empty()) return;
     txn_open_ = true;
     write_tokens_ -= static_cast<double>(d.commit.writes.size()) + 1;
--- a/src/tenancy.cpp
+++ b/src/tenancy.cpp
@@ -40,8 +40,10 @@
 }
 
 void Tenancy::store_read(bool ok, double now) {
-    if (!ok) served_since_ = -1;
-    else if (served_since_ < 0) served_since_ = now;
+    if (!ok)
+        served_since_ = -1;
+    else if (served_since_ < 0)
+        served_since_ = now;
     // Holds live longer through an outage, so only time in which the store answered counts.
     if (served_since_ >= 0 && now - served_since_ > holds_gone * ttl_s_) doubt_ = false;
 }
--- a/tests/test_records.cpp
+++ b/tests/test_records.cpp
@@ -97,13 +97,38 @@
     EXPECT_EQ(l.within(2), 2);
 }
 
+// Else each new holder would have images of 15 GB fetched again that lie ready.
+TEST(Records, ANewHolderKnowsWhereImagesLie) {
+    const auto settings = small_settings();
+    auto stored = one_job(job(1, Shape::array, 1, 1));
+    stored.images.push_back(
+        {"c/0", codec::parse(R"({"names":[["other",1],["img",0.5]],"held":{"n-2":[1],"n-1":[0,7]}})"), 1, false});
+    Core core(settings, 7, stored, 0, 0);
+    std::vector<Command> q{TypesKnown{small_types()}};
+    for (const auto* id : {"n-1", "n-2", "n-3"}) q.emplace_back(Beat{beat(id, 1, 0), 1});
+    std::string where;
+    bool stored_now = false;
+    for (double t = 0.1; t < 2; t += 0.05) {
+        if (stored_now) q.emplace_back(Committed{});
+        stored_now = false;
+        for (const auto& e : step(core, t, std::move(q))) {
+            stored_now = stored_now || std::holds_alternative<Commit>(e);
+            if (const auto* o = std::get_if<SendOrders>(&e)) where += o->machine;
+        }
+        q.clear();
+    }
+    EXPECT_EQ(where, "n-2");
+}
+
 // From vagonplan-ops-grown troubles: after each takeover machines were rented for tasks that ran.
 TEST(Records, NothingIsRentedForWhatRunsAlready) {
     const auto settings = small_settings();
     auto stored = one_job(job(1, Shape::gang, 4, 8));
-    stored.intents.push_back({"i/0", {{"t", "n-1 a 1 wk-000001/0:5\nn-2 a 1 wk-000001/1:5\nn-3 a 1 wk-000001/2:5\n"
-                                            "n-4 a 1 wk-000001/3:5"}},
-                              1, false});
+    stored.intents.push_back({"i/0",
+                              {{"t", "n-1 a 1 wk-000001/0:5\nn-2 a 1 wk-000001/1:5\nn-3 a 1 wk-000001/2:5\n"
+                                     "n-4 a 1 wk-000001/3:5"}},
+                              1,
+                              false});
     Core core(settings, 7, stored, 0, 0);
     for (double t = 0.1; t < settings.lease_s; t += 0.2)
         for (const auto& e : step(core, t, {TypesKnown{small_types()}}))
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -100,6 +100,7 @@
             if (k.starts_with("j/")) s.jobs.push_back(i);
             if (k.starts_with("i/")) s.intents.push_back(i);
             if (k.starts_with("p/")) s.progress.push_back(i);
+            if (k.starts_with("c/")) s.images.push_back(i);
             if (k.starts_with("m/") || k.starts_with("d/")) s.earlier.push_back(i);
         }
         queue.clear();
