--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -222,6 +222,7 @@
         const void* reserved_for = nullptr; // room is being made for this job; only compared
         Rank reserved_rank = Rank::low;
         double reserved_until = -1;
+        int reserved_tasks = 0;
         double slow = 1; // run time against the estimate of siblings, smoothed
     };
     struct Team {
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -161,7 +161,10 @@
     running_core_ = true;
     std::vector<Command> batch;
     batch.swap(queue_);
+    const auto commands = batch.size();
     auto effects = core_->step(batch, t, wall(), valid());
+    if (const double took = now() - t; took > s_.report_s / 100)
+        spdlog::debug("a step took {:.0f} ms for {} commands and {} effects", took * 1000, commands, effects.size());
     queue_.insert(queue_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
     const auto gen = generation_;
     for (auto& e : effects) {
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -104,15 +104,20 @@
     }
     if (!ready) {
         const double fetch = j.spec.image_gb / t.fetch_gb_per_s * (coming ? 0.5 : 1);
-        cost += fetch + std::min(others, fetch);
+        cost += fetch + others;
         if (j.start_within_s >= 0 && fetch > j.start_within_s) cost += late_start;
     }
     if (j.spec.spot && !m.spot) cost += 2;
     const bool lasting = j.spec.shape == Shape::service;
     if (lasting != is_pool(m)) cost += lasting ? 15 : 4;
     if (j.spec.each.gpus <= 0 && t.room.gpus > 0) cost += 20; // accelerators are for those who need them
-    // Full machines first, so that others become empty and can be returned.
-    cost += 2 * (m.whole.cpus - m.used.cpus) / std::max(1.0, m.whole.cpus);
+    // Full machines first, so that others become empty and can be returned; but replicas evenly over
+    // the pool, which stays: the loss of a machine or a zone then takes fewer of them, and what
+    // remains has room for them and their images.
+    if (lasting && is_pool(m))
+        cost += 2 * m.firm.cpus / std::max(1.0, m.whole.cpus);
+    else
+        cost += 2 * (m.whole.cpus - m.used.cpus) / std::max(1.0, m.whole.cpus);
     cost += 5 * std::max(0.0, m.slow - 1.5);
     return cost;
 }
@@ -186,6 +191,8 @@
         const auto try_no = (term_ << try_bits) + try_seq_;
         if (j.spec.shape == Shape::gang) j.gang_try = try_no;
         add_entry(m, j, i, try_no);
+        // What was made room for is there: others may have the rest.
+        if (m.reserved_for == &j && --m.reserved_tasks <= 0) m.reserved_for = nullptr;
         return;
     }
 }
@@ -280,7 +287,7 @@
 }
 
 // Replicas last: a good place, on the pool and with the image at hand, is worth stopping a little
-// work of lower rank for. What finds none goes where there is room.
+// work of lower rank for, where what is free would make them wait longer.
 int Core::place_service(Job& j) {
     auto place = [&](double cap) {
         if (j.spec.spread || j.spec.one_zone) return place_single(j, cap);
@@ -289,13 +296,15 @@
         return placed;
     };
     int placed = place(good_place_s);
-    if (j.pending.empty()) return placed;
+    if (j.pending.empty() || quota_room(j) <= 0) return placed;
     if (now_ < j.room_until && j.good_room) return placed; // being made
-    j.good_room = now_ >= j.room_until && make_room(j, good_place_s) > 0;
-    if (j.good_room)
-        j.room_until = now_ + s_.report_s / 6;
-    else
-        placed += place(1e18);
+    double free_cost = 1e18;
+    for (const auto& [id, m] : machines_)
+        if (j.spec.each.fits(m->whole - m->used) && usable(*m, j))
+            free_cost = std::min(free_cost, placement_cost(*m, j));
+    j.good_room = now_ >= j.room_until && make_room(j, free_cost) > 0;
+    if (j.good_room) j.room_until = now_ + s_.report_s / 6;
+    else placed += place(1e18);
     return placed;
 }
 
@@ -360,6 +369,7 @@
     r.machine->reserved_for = &j;
     r.machine->reserved_rank = j.spec.rank;
     r.machine->reserved_until = now_ + s_.report_s;
+    r.machine->reserved_tasks = r.tasks;
 }
 
 // Stops work of lower rank where that costs least, below the given cost a task. Returns for how
