Tell slow machines by the siblings of their tasks, and restart these elsewhere

Cause: machines that run 3 to 4 times slower held one task of most arrays (two in three jobs have a task on 5% of the machines), which then missed their deadline. Tasks of one job take 0.7 to 1.3 of their median (durations logged), so what runs far longer than the longest finished one is slow. Ruled out: the estimates, wrong by half either way.

--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -186,6 +186,8 @@
         int error_streak = 0;
         std::set<std::string> error_machines;
         bool had_success = false;
+        std::uint32_t runs = 0; // tasks that ran to their end, and the longest of them
+        double longest_run = 0;
         std::vector<std::uint64_t> cancels;
         double first_start = -1, room_until = -1;
         bool good_room = false; // being made for its replicas
@@ -223,7 +225,8 @@
         Rank reserved_rank = Rank::low;
         double reserved_until = -1;
         int reserved_tasks = 0;
-        double slow = 1; // run time against the estimate of siblings, smoothed
+        double slow_until = -1; // its tasks take far longer than their siblings elsewhere
+        int slow_seen = 0;
     };
     struct Team {
         TeamLimits limits;
@@ -337,6 +340,9 @@
     void reorder(std::vector<Machine*>& pool_machines, std::vector<Machine*>& leaving, const std::vector<Machine*>& to,
                  int cap, Planned& planned);
     void drain_noticed();
+    void note_run(Job& j, const Machine& m, double ran);
+    void find_slow();
+    void mark_slow(Machine& m);
     std::vector<Job*> waiting_jobs();
     double work_left(const Job& j) const;
 
@@ -360,7 +366,7 @@
     const Settings& s_;
     std::uint64_t term_;
     double now_, wall_, started_;
-    double wake_at_ = 0, next_tick_ = 0, next_round_ = 0, next_rent_ = 0, next_schedule_ = 0;
+    double wake_at_ = 0, next_tick_ = 0, next_round_ = 0, next_rent_ = 0, next_schedule_ = 0, next_slow_ = 0;
     std::vector<MachineType> types_;
     std::vector<Team> teams_;
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -92,6 +92,7 @@
         next_tick_ = now_ + s_.report_s / 20;
         lapse_machines();
         drain_noticed();
+        find_slow();
         dirty_ = true;
     }
     // A pass over what waits costs time: events gather for a moment first.
@@ -370,13 +371,9 @@
     switch (t.cause) {
     case ExitCause::done:
         m.failed_jobs.clear();
-        if (e.running_at >= 0 && j.spec.estimate_s > 0 && !j.spec.checkpoint_s) {
-            const double ratio = std::clamp((now_ - e.running_at) / j.spec.estimate_s, 0.2, 5.0);
-            m.slow = 0.8 * m.slow + 0.2 * ratio;
-            // On some days most estimates are too low: sums, since single ones are often wrong by half.
-            ran_s_ = 0.995 * ran_s_ + std::min(now_ - e.running_at, 5 * j.spec.estimate_s);
-            estimated_s_ = 0.995 * estimated_s_ + j.spec.estimate_s;
-        }
+        // Of what an earlier holder started nobody knows how long it ran.
+        if (e.running_at >= 0 && task.saved_s <= 0 && e.try_no >> try_bits == term_)
+            note_run(j, m, now_ - e.running_at);
         mark_done(j, e.index);
         break;
     case ExitCause::stopped:
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -15,6 +15,9 @@
 // Seconds that a task may wait for each CPU second of other work not lost.
 constexpr double chosen_already = 1000;
 constexpr double replica_loss_weight = 0.05, gang_loss_weight = 0.01;
+constexpr std::uint32_t few_runs = 3;  // of a job, before they say how long its tasks take
+constexpr double too_long = 1.5;       // of its longest run
+constexpr double most_slow = 0.15;     // of all machines: beyond, it is something else
 constexpr double late_start = 15;   // cost of a place where the start is too late for the aim of its class
 constexpr double good_place_s = 18; // cost of a place that is good enough not to look further
 
@@ -71,6 +74,7 @@
     if (m.status != Status::up || m.draining || m.bad || m.releasing || m.retiring || m.type < 0 || m.zone < 0)
         return false;
     if (now_ < m.avoid_until || now_ > m.heard + 1.5 * s_.report_s) return false;
+    if (now_ < m.slow_until && j.spec.shape != Shape::service) return false; // replicas have no speed
     if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until && j.spec.rank >= m.reserved_rank)
         return false;
     const auto& spec = j.spec;
@@ -118,7 +122,6 @@
         cost += 2 * m.firm.cpus / std::max(1.0, m.whole.cpus);
     else
         cost += 2 * (m.whole.cpus - m.used.cpus) / std::max(1.0, m.whole.cpus);
-    cost += 5 * std::max(0.0, m.slow - 1.5);
     return cost;
 }
 
@@ -510,6 +513,55 @@
     }
 }
 
+// Tasks of one job take much the same time, so the longest of those that are through tells what is
+// too long, long before any estimate would.
+void Core::note_run(Job& j, const Machine& m, double ran) {
+    if (j.spec.shape != Shape::array) return;
+    if (j.spec.estimate_s > 0) {
+        // On some days most estimates are too low: sums, since single ones are often wrong by half.
+        ran_s_ = 0.995 * ran_s_ + std::min(ran, 5 * j.spec.estimate_s);
+        estimated_s_ = 0.995 * estimated_s_ + j.spec.estimate_s;
+    }
+    ++j.runs;
+    if (now_ >= m.slow_until) j.longest_run = std::max(j.longest_run, ran);
+}
+
+void Core::find_slow() {
+    if (now_ < next_slow_) return;
+    next_slow_ = now_ + s_.report_s / 3;
+    for (auto& [id, m] : machines_) {
+        if (!serves(*m) || now_ < m->slow_until) continue;
+        for (const auto& e : m->entries) {
+            const auto& j = *e->job;
+            if (e->phase != Phase::running || e->stop || j.spec.shape != Shape::array) continue;
+            // Half of those that have started must be through, or the longest of them says little.
+            if (j.runs < few_runs || j.runs < j.running) continue;
+            if (now_ - e->running_at < too_long * j.longest_run + s_.report_s) continue;
+            mark_slow(*m);
+            break;
+        }
+    }
+}
+
+// A machine that is slow takes no work that has a speed for a while, longer each time; what has not
+// run for long there starts again elsewhere.
+void Core::mark_slow(Machine& m) {
+    if (now_ < m.slow_until) return;
+    const auto slow = std::count_if(machines_.begin(), machines_.end(),
+                                    [this](const auto& x) { return now_ < x.second->slow_until; });
+    if (static_cast<double>(slow) > most_slow * static_cast<double>(machines_.size())) return; // it is not them
+    m.slow_until = now_ + 2 * s_.lease_s * (1 << std::min(m.slow_seen++, 4));
+    note(1, fmt::format("machine {} is slow", m.id));
+    for (const auto& e : m.entries) {
+        const auto& j = *e->job;
+        if (e->stop || j.spec.shape != Shape::array || e->phase < Phase::sent) continue;
+        const double whole = j.runs >= few_runs ? j.longest_run : std::max(1.0, j.spec.estimate_s) * bias();
+        const double ran = e->phase == Phase::running ? now_ - e->running_at : 0;
+        if (ran > 2 * whole) continue; // nearly through all the same
+        stop_entry(*e, j.spec.checkpoint_s > 0 ? 4 * j.spec.save_s + 1 : 0);
+    }
+}
+
 // A place for one task that moves: room beyond what this round has planned there, and the image at
 // hand, so that the task is not away for long.
 Core::Machine* Core::place_to_move(const Entry& e, const std::vector<Machine*>& to, Planned& planned) const {
