--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -212,6 +212,8 @@
         Resources used, whole;
         Resources firm;        // used by what nothing takes the place of
         bool retiring = false; // to become empty and go back
+        bool presumed_dead = false; // a spot machine gone silent: given back, so that it is surely gone
+        double asked_at = -1;
         bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
         double release_retry = 0;
         double notice_until = -1;
@@ -343,6 +345,9 @@
     void note_run(Job& j, const Machine& m, double ran);
     void find_slow();
     void mark_slow(Machine& m);
+    void watch_silent();
+    void note_spot_loss();
+    [[nodiscard]] double spot_loss_rate() const; // of one machine, a second
     std::vector<Job*> waiting_jobs();
     double work_left(const Job& j) const;
 
@@ -426,6 +431,8 @@
     std::map<std::string, double> no_capacity_; // "type/zone/kind" -> not before
     Resources common_shape_, service_shape_;
     double offered_ = 0, offered_at_ = 0, keep_ready_ = 0;
+    double spot_losses_ = 0, spot_losses_at_ = 0, next_silent_ = 0;
+    std::size_t spot_machines_ = 0;
     double ran_s_ = 1, estimated_s_ = 1; // of tasks done lately
     [[nodiscard]] double bias() const {
         return std::clamp(ran_s_ / estimated_s_, 0.3, 3.0);
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -13,6 +13,8 @@
 constexpr double window_used = 0.4;    // of the time an array has left, since estimates are often wrong by half
 constexpr double spare = 1.15;         // of what arrays need, kept
 constexpr double offered_leases = 3;   // lengths of a lease over which offered work is averaged
+constexpr double silent_reports = 1.5, dead_reports = 2.5; // intervals without a word
+constexpr double most_silent = 0.05;    // of a zone's ordinary machines; beyond, it is a cut
 constexpr double spare_gangs = 0.25;   // of the machines in use by gangs, kept free of gangs
 
 template <class V> bool allows(const std::vector<std::string>& list, const V& name) {
@@ -300,6 +302,53 @@
     }
 }
 
+// A spot machine that falls silent has mostly been taken without notice. Given back it is surely gone
+// and its tasks start elsewhere at once, long before its lease would have run out. Not so where
+// ordinary machines of the zone are silent too: that is a cut, and behind it work goes on.
+void Core::watch_silent() {
+    if (now_ < next_silent_) return;
+    next_silent_ = now_ + s_.report_s / 6;
+    struct Zone {
+        double up = 0, silent = 0;
+    };
+    std::map<std::pair<int, bool>, Zone> zones;
+    spot_machines_ = 0;
+    std::vector<Machine*> silent;
+    for (auto& [id, m] : machines_) {
+        if (m->status != Status::up || m->releasing) continue;
+        spot_machines_ += m->spot;
+        const double since = now_ - std::max({m->heard, started_, m->known_since});
+        auto& z = zones[{m->zone, m->spot}];
+        ++z.up;
+        if (since < silent_reports * s_.report_s) continue;
+        ++z.silent;
+        silent.push_back(m.get());
+        if (now_ - m->asked_at < s_.report_s || m->batch != 0) continue;
+        m->asked_at = now_;
+        to_ask_.push_back(id);
+    }
+    for (auto* m : silent) {
+        if (!m->spot || now_ - std::max({m->heard, started_, m->known_since}) < dead_reports * s_.report_s) continue;
+        const auto& ordinary = zones[{m->zone, false}];
+        const auto& spot = zones[{m->zone, true}];
+        const bool taken = m->draining && now_ > m->notice_until;
+        if (!taken && (ordinary.silent > 1 + most_silent * ordinary.up || spot.silent > 1 + spot.up / 2)) continue;
+        m->presumed_dead = true;
+    }
+}
+
+void Core::note_spot_loss() {
+    const double over = offered_leases * s_.lease_s;
+    spot_losses_ = spot_losses_ * std::exp(-(now_ - spot_losses_at_) / over) + 1;
+    spot_losses_at_ = now_;
+}
+
+double Core::spot_loss_rate() const {
+    const double over = offered_leases * s_.lease_s;
+    if (spot_machines_ == 0) return 0;
+    return spot_losses_ * std::exp(-(now_ - spot_losses_at_) / over) / over / static_cast<double>(spot_machines_);
+}
+
 void Core::return_machines() {
     Release out;
     for (auto& [id, mp] : machines_) {
@@ -320,8 +369,14 @@
         if (m.status == Status::up && m.entries.empty() && !m.draining && m.empty_since >= 0 && unwanted &&
             now_ - started_ > s_.report_s && m.batch == 0)
             give_back = true;
-        if (!give_back || !m.entries.empty()) continue;
+        if (m.presumed_dead) give_back = true;
+        if (!give_back || (!m.entries.empty() && !m.presumed_dead)) continue;
         m.releasing = m.release_asked = true;
+        if (m.presumed_dead) {
+            note_spot_loss();
+            note(1, fmt::format("spot machine {} is silent, {} tasks start elsewhere once it is surely gone", id,
+                                m.entries.size()));
+        }
         out.machines.push_back(id);
     }
     if (out.machines.empty()) return;
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -93,6 +93,7 @@
         lapse_machines();
         drain_noticed();
         find_slow();
+        watch_silent();
         dirty_ = true;
     }
     // A pass over what waits costs time: events gather for a moment first.
@@ -190,8 +191,9 @@
     }
     // Nobody has any use for what runs after a cancellation was asked for; the answer still
     // waits for the store.
-    note(0, fmt::format("job {} of {} tasks {} {:.1f} s after it was submitted", j.spec.id, j.spec.tasks,
-                        f == Final::done ? "done" : "cancelled", now_ - j.submitted));
+    note(0, fmt::format("job {} of {} tasks {} {:.1f} s after it was submitted{}", j.spec.id, j.spec.tasks,
+                        f == Final::done ? "done" : "cancelled", now_ - j.submitted,
+                        j.spec.deadline_s >= 0 ? fmt::format(", due after {:.1f} s", j.spec.deadline_s) : ""));
     for (auto* e : j.entries) stop_entry(*e, 0);
     dirty_ = true;
 }
@@ -466,6 +468,7 @@
     }
     m.counter = r.counter;
     m.heard = now_;
+    m.presumed_dead = false;
     if (m.status != Status::up) {
         m.last_seen = std::max(m.last_seen, now_); // it may report to nobody yet
         m.status = Status::up;
@@ -519,6 +522,7 @@
     for (const auto& [e, t] : ended)
         if (may_reap(*t)) reaps.push_back({Verb::reap, t->job, t->index, t->try_no, 0});
     if (r.notice_s >= 0 && !m.draining) {
+        note_spot_loss();
         m.draining = true;
         m.notice_until = now_ + r.notice_s;
         note(1, fmt::format("machine {} is taken back in {:.0f} s", m.id, r.notice_s));
@@ -603,7 +607,7 @@
     while (!to_ask_.empty() && asking_ < at_once) {
         auto* m = find_machine(to_ask_.front());
         to_ask_.pop_front();
-        if (m == nullptr || m->heard >= 0 || m->batch != 0 || m->addr.empty()) continue;
+        if (m == nullptr || now_ - m->heard < s_.report_s || m->batch != 0 || m->addr.empty()) continue;
         ++asking_;
         m->asked = true;
         m->batch = ++batch_seq_;
@@ -661,6 +665,7 @@
         if (m.status == Status::up && now_ > m.last_seen + lease) {
             if (!m.entries.empty()) note(2, fmt::format("lease of {} has lapsed, {} tasks lost", id, m.entries.size()));
             for (const auto& e : m.entries) lost_ += e->phase >= Phase::sent;
+            if (m.spot) note_spot_loss();
             lose_entries(m);
             m.status = Status::lost;
             m.empty_since = now_;
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -17,7 +17,9 @@
 constexpr double replica_loss_weight = 0.05, gang_loss_weight = 0.01;
 constexpr std::uint32_t few_runs = 3;  // of a job, before they say how long its tasks take
 constexpr double too_long = 1.5;       // of its longest run
+constexpr double long_if_most_through = 1.2, most_through = 4; // times as many as still run
 constexpr double most_slow = 0.15;     // of all machines: beyond, it is something else
+constexpr double tight_loss_s = 100;   // what the loss of a task weighs if its job would be late by it
 constexpr double late_start = 15;   // cost of a place where the start is too late for the aim of its class
 constexpr double good_place_s = 18; // cost of a place that is good enough not to look further
 
@@ -112,6 +114,14 @@
         if (j.start_within_s >= 0 && fetch > j.start_within_s) cost += late_start;
     }
     if (j.spec.spot && !m.spot) cost += 2;
+    if (m.spot) {
+        // What a loss costs: a lease until it is known, and the run once more. A job that would be
+        // late by that keeps off spot machines on days when many are taken.
+        const double run = std::max(1.0, j.spec.estimate_s) * bias();
+        const double due = due_at(j);
+        const bool tight = due >= 0 && due - now_ < 2 * run + s_.lease_s;
+        cost += spot_loss_rate() * run * (tight ? tight_loss_s : s_.lease_s);
+    }
     const bool lasting = j.spec.shape == Shape::service;
     if (lasting != is_pool(m)) cost += lasting ? 15 : 4;
     if (j.spec.each.gpus <= 0 && t.room.gpus > 0) cost += 20; // accelerators are for those who need them
@@ -534,9 +544,10 @@
         for (const auto& e : m->entries) {
             const auto& j = *e->job;
             if (e->phase != Phase::running || e->stop || j.spec.shape != Shape::array) continue;
-            // Half of those that have started must be through, or the longest of them says little.
+            // The more of those that have started are through, the more the longest of them says.
             if (j.runs < few_runs || j.runs < j.running) continue;
-            if (now_ - e->running_at < too_long * j.longest_run + s_.report_s) continue;
+            const double much = j.runs < most_through * j.running ? too_long : long_if_most_through;
+            if (now_ - e->running_at < much * j.longest_run + s_.report_s / 3) continue;
             mark_slow(*m);
             break;
         }
