--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -318,17 +318,19 @@
         if (m->status != Status::up || m->releasing) continue;
         spot_machines_ += m->spot;
         const double since = now_ - std::max({m->heard, started_, m->known_since});
+        const bool unlisted = m->type < 0; // known from records only: mostly gone before we took office
         auto& z = zones[{m->zone, m->spot}];
-        ++z.up;
+        if (!unlisted) ++z.up;
         if (since < silent_reports * s_.report_s) continue;
-        ++z.silent;
+        if (!unlisted) ++z.silent;
         silent.push_back(m.get());
         if (now_ - m->asked_at < s_.report_s || m->batch != 0) continue;
         m->asked_at = now_;
         to_ask_.push_back(id);
     }
     for (auto* m : silent) {
-        if (!m->spot || now_ - std::max({m->heard, started_, m->known_since}) < dead_reports * s_.report_s) continue;
+        if (m->type < 0 && !asked_all_) continue;
+        if ((!m->spot && m->type >= 0) || now_ - std::max({m->heard, started_, m->known_since}) < dead_reports * s_.report_s) continue;
         const auto& ordinary = zones[{m->zone, false}];
         const auto& spot = zones[{m->zone, true}];
         const bool taken = m->draining && now_ > m->notice_until;
