Several controllers in the in-memory world; a new tenure's lease counts from its report

Cause: a machine whose tenure began anew held a lease that no answer of ours had given; it was taken for lapsed too early, counted from the last answer before. Ruled out: promises, takeover of intents.

--- a/src/core.cpp
+++ b/src/core.cpp
@@ -465,6 +465,9 @@
             }
         m.tenure = r.tenure;
         m.failed_jobs.clear();
+        // The lease of a new tenure counts from its beginning, which was at the latest now: it holds
+        // without any report that we answered. (Found by the world with several controllers.)
+        m.last_seen = std::max(m.last_seen, now_);
     }
     m.counter = r.counter;
     m.heard = now_;
--- /dev/null
+++ b/tests/test_cluster.cpp
@@ -0,0 +1,198 @@
+// Several controllers: who may act, and whole days of several hundred machines under trouble.
+#include "world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift::testing {
+namespace {
+
+struct Promises : ::testing::Test {
+    static constexpr double ttl = 2;
+    Tenancy holder{ttl, 2, 0};
+    void SetUp() override {
+        holder.begin();
+        holder.hold_extended(100);
+    }
+};
+
+TEST_F(Promises, OfAllOthersCarryTheHolderOn) {
+    ASSERT_TRUE(holder.valid(101));
+    EXPECT_FALSE(holder.promised("b", 101, 101.1));
+    EXPECT_FALSE(holder.valid(102)); // one of two is not enough
+    SetUp();
+    holder.promised("b", 101.5, 101.6);
+    holder.promised("c", 101.4, 101.7);
+    EXPECT_TRUE(holder.valid(102.2));
+    EXPECT_FALSE(holder.valid(102.4)); // counted from when the earlier of the two was asked
+}
+
+// Whoever took the office in between may have lost it again and told users what we do not know.
+TEST_F(Promises, DoNotMendALapse) {
+    holder.promised("b", 101.9, 102.5);
+    holder.promised("c", 101.9, 102.5);
+    EXPECT_FALSE(holder.valid(102.5));
+}
+
+TEST_F(Promises, AreNotGivenByWhomTheStoreServes) {
+    Tenancy peer(ttl, 2, 0);
+    for (double t = 0; t < 10; t += 0.5) peer.store_read(true, t);
+    EXPECT_FALSE(peer.promise(1, 10, true, false));
+    EXPECT_FALSE(peer.promise(1, 10, false, true)); // nor by one that takes the office itself
+    EXPECT_TRUE(peer.may_take(10));
+    EXPECT_TRUE(peer.promise(1, 10, true, true));
+    EXPECT_FALSE(peer.may_take(11));
+    EXPECT_TRUE(peer.may_take(11.2));
+}
+
+TEST_F(Promises, ThatANewProcessMayHaveForgottenAreKept) {
+    Tenancy fresh(ttl, 2, 50);
+    EXPECT_FALSE(fresh.may_take(51));
+    EXPECT_TRUE(fresh.may_take(51.2));
+    Tenancy holder_before(ttl, 2, 50);
+    holder_before.found_own_name(); // whom it had promised was itself
+    EXPECT_TRUE(holder_before.may_take(50));
+}
+
+// An attempt of our own that is still under way would break the promise without our doing.
+TEST_F(Promises, AreNotGivenWhileAnAttemptMayStillBeApplied) {
+    Tenancy peer(ttl, 2, 0);
+    EXPECT_FALSE(peer.promise(1, 1, true, true)); // the process before may have left one
+    for (double t = 0; t < 10; t += 0.5) peer.store_read(true, t);
+    ASSERT_TRUE(peer.promise(1, 10, true, true));
+    peer.attempt_unresolved();
+    EXPECT_FALSE(peer.promise(1, 20, true, true));
+    peer.store_read(true, 20);
+    peer.store_read(false, 24); // an outage: holds live on
+    peer.store_read(true, 25);
+    peer.store_read(true, 30);
+    EXPECT_FALSE(peer.promise(1, 30, true, true));
+    peer.store_read(true, 32);
+    EXPECT_TRUE(peer.promise(1, 32, true, true));
+}
+
+std::string first(const World& w) {
+    return w.broken.empty() ? "" : w.broken.front();
+}
+
+TEST(Cluster, AnOutageLongerThanHoldAndLeaseLosesNothing) {
+    World w(5, 5);
+    w.settings.teams[0].cpus_max = 100;
+    w.capacity = 20;
+    w.run(20);
+    w.submit(job(1, Shape::service, 20, 4));
+    w.run(30);
+    const int started = w.started;
+    ASSERT_EQ(started, 20);
+    w.store_down = true;
+    w.run(3 * w.settings.lease_s);
+    EXPECT_GT(w.carried, 100);
+    w.end_store_outage();
+    w.run(20);
+    EXPECT_EQ(w.started, started);
+    EXPECT_EQ(w.offices, 1);
+    EXPECT_EQ(first(w), "");
+}
+
+// The store serves all but the holder: that is no outage, and another must take over.
+TEST(Cluster, AHolderThatAloneIsCutFromTheStoreIsReplaced) {
+    World w(6, 5);
+    w.capacity = 20;
+    w.run(20);
+    ASSERT_TRUE(w.office);
+    const auto before = w.office->node;
+    w.controllers[before].no_store = true;
+    w.run(15);
+    ASSERT_TRUE(w.office);
+    EXPECT_NE(w.office->node, before);
+    EXPECT_EQ(first(w), "");
+}
+
+struct Size {
+    std::size_t controllers;
+    int machines;
+    unsigned seed;
+};
+
+// Crashes of some and of all, outages, controllers cut from one side only, machines that hang, are
+// cut, die, fail or are silent, messages lost and late.
+class ManyTroubles : public ::testing::TestWithParam<Size> {};
+
+TEST_P(ManyTroubles, BreakNoRule) {
+    const auto size = GetParam();
+    World w(size.seed, size.controllers);
+    w.settings.teams = {{"red", 400, 800, 0, 0}, {"blue", 400, 1200, 0, 0}};
+    w.settings.state_write_rps = 40;
+    w.settings.txn_ops = 16;
+    w.capacity = size.machines;
+    w.beat_loss = 0.02;
+    w.order_loss = 0.03;
+    w.late = 0.02;
+    int n = 0;
+    double next_job = 2, next_trouble = 25;
+    auto some = [&](double most) { return 1 + static_cast<int>(w.between(0, most)); };
+    auto later = [&](double most, std::function<void()> f) { w.send(w.between(1, most), std::move(f)); };
+    while (w.now < 150 && w.broken.empty()) {
+        if (w.now >= next_job && !w.store_down) {
+            next_job = w.now + w.between(0.2, 2);
+            const double c = w.chance();
+            const auto shape = c < 0.6 ? Shape::array : c < 0.8 ? Shape::gang : Shape::service;
+            auto j = job(++n, shape, static_cast<std::uint32_t>(shape == Shape::array ? some(80) : some(9)),
+                         1 + std::floor(w.between(0, 3)), w.chance() < 0.5 ? "red" : "blue");
+            j.spread = shape == Shape::service && w.chance() < 0.5;
+            j.one_zone = shape == Shape::gang && w.chance() < 0.5;
+            if (shape == Shape::array) j.rank = w.chance() < 0.5 ? Rank::normal : Rank::low;
+            if (shape == Shape::gang) j.rank = Rank::high;
+            w.submit(j);
+        }
+        if (n > 0 && w.chance() < 0.005) w.cancel(fmt::format("wk-{:06}", some(n - 0.01)));
+        if (w.now >= next_trouble) {
+            next_trouble = w.now + w.between(2, 10);
+            const double c = w.chance();
+            auto& node =
+                w.controllers[static_cast<std::size_t>(w.between(0, static_cast<double>(size.controllers) - 0.01))];
+            if (c < 0.15) {
+                for (auto& x : w.controllers)
+                    if (w.chance() < 0.4) w.crash(x, 3);
+            } else if (c < 0.25) {
+                if (w.office) w.crash(w.controllers[w.office->node], 3);
+            } else if (c < 0.35) {
+                w.store_down = true;
+                later(20, [&w] { w.end_store_outage(); });
+            } else if (c < 0.55) {
+                bool World::Controller::*side = c < 0.42   ? &World::Controller::no_store
+                                                : c < 0.49 ? &World::Controller::no_workers
+                                                           : &World::Controller::no_peers;
+                node.*side = true;
+                later(25, [&node, side] { node.*side = false; });
+            } else {
+                for (auto& [id, x] : w.workers) {
+                    if (w.chance() > 0.05) continue;
+                    if (c < 0.7) {
+                        x.cut = true;
+                        later(25, [&w, k = id] {
+                            if (w.workers.contains(k)) w.workers[k].cut = false;
+                        });
+                    } else if (c < 0.85) {
+                        x.hung = true;
+                        later(25, [&w, k = id] {
+                            if (w.workers.contains(k)) w.workers[k].hung = false;
+                        });
+                    } else {
+                        (c < 0.93 ? x.dead : x.sick) = true;
+                    }
+                }
+            }
+        }
+        w.step();
+    }
+    EXPECT_EQ(first(w), "") << "at " << w.now;
+    EXPECT_GT(w.started, 3 * size.machines);
+    EXPECT_GE(w.offices, 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, ManyTroubles,
+                         ::testing::Values(Size{5, 300, 1}, Size{7, 300, 2}, Size{3, 40, 3}, Size{5, 40, 4},
+                                           Size{7, 40, 5}, Size{5, 40, 6}, Size{7, 40, 7}));
+
+} // namespace
+} // namespace heronshift::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -1,8 +1,10 @@
-// A small cluster in memory for stories: a store, a cloud, workers that follow the protocol and a
-// network that delays, loses and holds messages. After every step all rules are checked.
+// A cluster in memory for stories: a store, a cloud, workers that follow the protocol, a network
+// that delays, loses and holds messages, and one controller whose office changes at a word, or
+// several that take it from each other. After every step all rules are checked.
 #pragma once
 
 #include "heronshift/core.hpp"
+#include "heronshift/tenancy.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -40,6 +42,7 @@
         bool spot = false, cut = false, dead = false, sick = false, hung = false;
         std::uint64_t tenure = 1, counter = 0, fence = 0;
         double lease_from = 0, next_beat = 0;
+        std::size_t node = 0; // the controller it reports to
         struct Run {
             std::string job;
             std::uint32_t index = 0;
@@ -55,23 +58,47 @@
         std::function<void()> f;
     };
 
-    explicit World(unsigned seed) : rng(seed) {}
+    struct Controller {
+        std::string name;
+        std::unique_ptr<Core> core; // while it holds the office, or believes so
+        std::vector<Command> queue;
+        std::uint64_t life = 0, term = 0, hold = 0; // answers for an earlier life are dropped
+        std::optional<Tenancy> tenancy;             // none: alone, and always entitled
+        bool alive = true, acquiring = false, no_store = false, no_workers = false, no_peers = false;
+        double rate = 1, back_at = 0, next_look = 0, next_renew = 0;
+    };
+
+    explicit World(unsigned seed, std::size_t count = 1) : rng(seed), controllers(count), core(controllers[0].core) {
+        for (std::size_t i = 0; i < count; ++i) {
+            controllers[i].name = fmt::format("berth-{}", i);
+            if (count == 1) continue;
+            controllers[i].rate = between(0.9995, 1.0005); // steady clocks drift apart
+            controllers[i].tenancy.emplace(ttl_s(), count - 1, 0);
+        }
+    }
+    World(const World&) = delete;
 
     Settings settings = small_settings();
     std::mt19937 rng;
     double now = 0, beat_loss = 0, order_loss = 0, late = 0;
     bool store_down = false;
     std::map<std::string, codec::Json> store;
-    std::uint64_t term = 0;
+    struct Held {
+        std::size_t node = 0;
+        std::uint64_t hold = 0, term = 0;
+    };
+    std::optional<Held> office;
+    std::map<std::uint64_t, double> holds; // until when
+    std::uint64_t term = 0, hold_seq = 0;
+    int offices = 0, carried = 0; // times the office was taken; steps it was held by promises alone
     std::map<std::string, Worker> workers;
     std::map<std::string, JobSpec> jobs;
     std::map<std::string, double> cancelled; // told to the user
     std::set<std::string> done_tasks;
     std::map<std::string, std::string> told; // final states heard
     std::vector<Message> messages;
-    std::unique_ptr<Core> core;
-    std::uint64_t core_id = 0; // answers for an earlier core are dropped
-    std::vector<Command> queue;
+    std::vector<Controller> controllers;
+    std::unique_ptr<Core>& core; // of the first
     std::map<std::uint64_t, std::function<void(int, std::uint64_t, std::vector<Order>)>> beats;
     std::map<std::uint64_t, std::string> cancels;
     std::uint64_t handles = 0;
@@ -89,11 +116,26 @@
     void send(double delay, std::function<void()> f) {
         messages.push_back({now + delay, std::move(f)});
     }
+    [[nodiscard]] double ttl_s() const {
+        return std::min(settings.report_s, settings.lease_s / 5);
+    }
+    [[nodiscard]] bool several() const {
+        return controllers.size() > 1;
+    }
+    [[nodiscard]] bool entitled(const Controller& c) const {
+        return c.alive && c.core && (!c.tenancy || c.tenancy->valid(now * c.rate));
+    }
 
     // A new holder of the office: everything it knows is what the store holds.
     void take_office() {
         ++term;
-        ++core_id;
+        start_core(controllers[0]);
+    }
+
+    void start_core(Controller& c) {
+        ++c.life;
+        ++offices;
+        c.term = term;
         Snapshot s;
         for (const auto& [k, v] : store) {
             codec::Item i{k, v, 1, false};
@@ -103,24 +145,46 @@
             if (k.starts_with("c/")) s.images.push_back(i);
             if (k.starts_with("m/") || k.starts_with("d/")) s.earlier.push_back(i);
         }
-        queue.clear();
-        beats.clear();
-        cancels.clear();
-        core = std::make_unique<Core>(settings, term, s, now, now);
-        queue.push_back(TypesKnown{small_types()});
+        c.queue.clear();
+        c.core = std::make_unique<Core>(settings, c.term, s, now * c.rate, now);
+        c.queue.push_back(TypesKnown{small_types()});
+        c.queue.push_back(list());
+    }
+
+    Listed list() const {
+        Listed l;
+        for (const auto& [id, w] : workers)
+            if (!w.dead) l.machines.push_back({w.id, w.addr, "m8", w.zone, "running", w.spot, 100});
+        return l;
     }
 
     void submit(JobSpec spec) {
         jobs[spec.id] = spec;
         store["j/" + spec.id] = codec::Json{{"spec", codec::to_json(spec)}, {"at", now}};
-        queue.push_back(JobStored{spec, 0});
+        for (auto& c : controllers)
+            if (c.core) c.queue.push_back(JobStored{spec, 0});
     }
 
     void cancel(const std::string& id) {
-        if (!core || store.contains("f/" + id)) return;
-        const auto h = ++handles;
-        cancels[h] = id;
-        queue.push_back(CancelAsked{id, h});
+        if (store.contains("f/" + id)) return;
+        for (auto& c : controllers) {
+            if (!entitled(c)) continue;
+            const auto h = ++handles;
+            cancels[h] = id;
+            c.queue.push_back(CancelAsked{id, h});
+        }
+    }
+
+    void crash(Controller& c, double for_s) {
+        c.core.reset();
+        ++c.life;
+        c.alive = c.acquiring = false;
+        c.back_at = now + for_s;
+    }
+
+    void end_store_outage() {
+        store_down = false;
+        for (auto& [id, until] : holds) until = now + ttl_s(); // all have their full time again
     }
 
     Report report(Worker& w) {
@@ -214,32 +278,43 @@
             auto r = report(w);
             const double delay = chance() < late ? between(5, 60) : between(0, 0.2);
             if (chance() < beat_loss) return;
-            send(delay, [this, id = w.id, r, sent, tenure = w.tenure] {
-                if (!core) return;
+            send(delay, [this, id = w.id, r, sent, tenure = w.tenure, node = w.node] {
+                auto& c = controllers[node];
+                auto refused = [this, id] {
+                    if (auto it = workers.find(id); it != workers.end())
+                        it->second.node =
+                            chance() < 0.5 || !office ? (it->second.node + 1) % controllers.size() : office->node;
+                };
+                if (!c.core || c.no_workers) return refused();
                 const auto h = ++handles;
-                beats[h] = [this, id, sent, tenure](int status, std::uint64_t fence, std::vector<Order> orders) {
-                    send(between(0, 0.2), [this, id, sent, tenure, status, fence, orders] {
+                beats[h] = [this, id, sent, tenure, refused](int status, std::uint64_t fence,
+                                                             std::vector<Order> orders) {
+                    if (status != 200) return refused();
+                    send(between(0, 0.2), [this, id, sent, tenure, fence, orders] {
                         auto it = workers.find(id);
                         if (it == workers.end() || it->second.dead || it->second.hung || it->second.cut) return;
                         auto& x = it->second;
-                        if (status != 200 || now > sent + 4 || x.tenure != tenure || fence < x.fence) return;
+                        if (now > sent + 4 || x.tenure != tenure || fence < x.fence) return;
                         x.fence = fence;
                         x.lease_from = std::max(x.lease_from, sent);
                         execute(x, orders);
                     });
                 };
-                queue.push_back(Beat{r, h});
+                c.queue.push_back(Beat{r, h});
             });
         }
     }
 
-    void perform(const Effect& effect) {
-        if (const auto* c = std::get_if<Commit>(&effect)) {
-            if (on_commit) on_commit(c->writes);
-            send(between(0.01, 0.5), [this, id = core_id, t = term, writes = c->writes] {
-                if (t != term) return; // the guard on the round fails
+    void perform(Controller& c, const Effect& effect) {
+        auto tell = [this, &c, life = c.life](Command a) {
+            if (c.life == life && c.core) c.queue.push_back(std::move(a));
+        };
+        if (const auto* commit = std::get_if<Commit>(&effect)) {
+            if (on_commit) on_commit(commit->writes);
+            send(between(0.01, 0.5), [this, &c, tell, t = c.term, writes = commit->writes] {
+                if (t != term || (several() && (!office || office->term != t))) return; // the guards fail
                 TxnOutcome out = TxnOutcome::refused;
-                if (!store_down) {
+                if (!store_down && !c.no_store) {
                     out = TxnOutcome::applied;
                     for (const auto& w : writes) {
                         if (w.value)
@@ -248,15 +323,13 @@
                             store.erase(w.key);
                     }
                 }
-                if (id == core_id) queue.push_back(Committed{out});
+                tell(Committed{out});
             });
         } else if (const auto* o = std::get_if<SendOrders>(&effect)) {
             const bool lost = chance() < order_loss, held = chance() < late;
             const double delay = held ? between(3, 90) : between(0, 0.1);
-            auto answer = [this, id = core_id](OrdersAnswered a) {
-                if (id == core_id) queue.push_back(std::move(a));
-            };
-            if (!lost)
+            auto answer = [tell](OrdersAnswered a) { tell(std::move(a)); };
+            if (!lost && !c.no_workers)
                 send(delay, [this, o = *o, answer, held] {
                     auto it = workers.find(o.machine);
                     if (it == workers.end() || it->second.dead || it->second.hung || it->second.cut) return;
@@ -298,17 +371,100 @@
                     workers[id] = w;
                 });
             }
-            send(0.2, [this, id = core_id, out] {
-                if (id == core_id) queue.push_back(out);
-            });
+            send(0.2, [tell, out] { tell(out); });
         } else if (const auto* r = std::get_if<Release>(&effect)) {
-            send(0.2, [this, id = core_id, list = r->machines] {
+            send(0.2, [this, tell, list = r->machines] {
                 for (const auto& m : list)
                     if (workers.erase(m) > 0) ++capacity;
-                if (id == core_id) queue.push_back(Released{list, true});
+                tell(Released{list, true});
             });
         } else if (std::get_if<StepDown>(&effect) != nullptr) {
-            core.reset();
+            c.core.reset();
+            ++c.life;
+        }
+    }
+
+    // What a node does about the office, as src/office.cpp does it over the wire.
+    void run_tenancy(std::size_t i) {
+        auto& c = controllers[i];
+        const double t = now * c.rate;
+        if (!c.alive) {
+            if (now < c.back_at) return;
+            c.alive = true;
+            c.tenancy.emplace(ttl_s(), controllers.size() - 1, t);
+        }
+        for (auto it = holds.begin(); it != holds.end();) {
+            const bool ended = !store_down && now > it->second + 0.05;
+            if (ended && office && office->hold == it->first) office.reset();
+            it = ended ? holds.erase(it) : std::next(it);
+        }
+        const bool served = !store_down && !c.no_store;
+        if (c.core && t >= c.next_renew) {
+            c.next_renew = t + ttl_s() / 6;
+            if (served && !holds.contains(c.hold)) {
+                c.core.reset();
+                ++c.life;
+                return;
+            }
+            if (served) {
+                holds[c.hold] = now + ttl_s();
+                c.tenancy->hold_extended(t);
+            } else if (c.tenancy->wants_promises(t)) {
+                ask_for_promises(i, t);
+            }
+        }
+        if (c.core || c.acquiring || now < c.next_look) return;
+        c.next_look = now + between(0.1, 0.3);
+        c.tenancy->store_read(served, t);
+        if (!served) return;
+        if (office && office->node == i) { // the process before
+            holds.erase(office->hold);
+            office.reset();
+            c.tenancy->found_own_name();
+        } else if (!office && c.tenancy->may_take(t)) {
+            attempt(i, t);
+        }
+    }
+
+    void attempt(std::size_t i, double sent) {
+        auto& c = controllers[i];
+        c.acquiring = true;
+        const auto hold = ++hold_seq;
+        holds[hold] = now + ttl_s();
+        const double delay = chance() < late ? between(1, 20) : between(0.02, 0.2);
+        send(std::min(delay, 1.0), [this, &c, life = c.life, delay] {
+            if (c.life != life || !c.acquiring || delay < 1) return;
+            c.acquiring = false;
+            c.tenancy->attempt_unresolved(); // it may still be applied
+        });
+        send(delay, [this, i, &c, life = c.life, hold, sent, read = term] {
+            const bool applied = !store_down && !c.no_store && !office && holds.contains(hold) && term == read;
+            if (applied) office = Held{i, hold, ++term};
+            if (c.life != life || !c.acquiring) return;
+            c.acquiring = false;
+            if (!applied) return;
+            c.hold = hold;
+            c.tenancy->begin();
+            c.tenancy->hold_extended(sent);
+            start_core(c);
+        });
+    }
+
+    void ask_for_promises(std::size_t i, double sent) {
+        auto& c = controllers[i];
+        for (std::size_t k = 0; k < controllers.size(); ++k) {
+            if (k == i || c.no_peers) continue;
+            send(between(0, 0.1), [this, k, &c, life = c.life, sent] {
+                auto& p = controllers[k];
+                if (!p.alive || p.no_peers) return;
+                const double t = now * p.rate;
+                const bool failed = store_down || p.no_store;
+                p.tenancy->store_read(!failed, t);
+                if (!p.tenancy->promise(c.tenancy->promise_s(), t, !p.core && !p.acquiring, failed)) return;
+                send(between(0, 0.1), [this, &c, life, sent, name = p.name] {
+                    if (c.life == life && c.core) c.tenancy->promised(name, sent, now * c.rate);
+                });
+            });
         }
     }
 
@@ -339,13 +495,21 @@
         std::shuffle(due.begin(), due.end(), rng);
         for (auto& m : due) m.f();
         for (auto& [id, w] : workers) run_worker(w);
-        if (!core) return;
-        const auto effects = core->step(queue, now, now);
-        for (const auto& e : effects)
-            if (core) perform(e);
-        if (!core) return;
-        for (const auto& [id, spec] : jobs)
-            if (const auto v = core->view(id); v) hear(id, v->status);
+        int holders = 0;
+        for (std::size_t i = 0; i < controllers.size(); ++i) {
+            auto& c = controllers[i];
+            if (several()) run_tenancy(i);
+            if (!c.core) continue;
+            const bool may = entitled(c);
+            holders += may;
+            carried += may && several() && store_down;
+            for (const auto& e : c.core->step(c.queue, now * c.rate, now, may))
+                if (c.core) perform(c, e);
+            if (!c.core || !may) continue;
+            for (const auto& [id, spec] : jobs)
+                if (const auto v = c.core->view(id); v) hear(id, v->status);
+        }
+        if (holders > 1) broken.push_back("two holders");
         for (const auto& [id, w] : workers)
             for (const auto& t : w.tasks)
                 if (!w.dead && t.state == TaskState::running && cancelled.contains(t.job) &&
