--- a/include/heronshift/codec.hpp
+++ b/include/heronshift/codec.hpp
@@ -37,6 +37,27 @@
 Json to_json(const JobSpec& s); // as the store keeps it
 std::optional<JobSpec> spec_from_store(const Json& j);
 
+// The record of a job. One that waits for others has its spec under another name than the rest: the
+// versions before chains take a record without "spec" for no job of theirs, so that such a holder
+// answers for it and starts nothing of it.
+struct StoredJob {
+    JobSpec spec;
+    double at = 0;      // by the wall clock: when it was submitted
+    double ready = -1;  // and since when it is ready; below zero: since it was submitted
+    bool waits = false; // for jobs it needs
+    std::string final;  // empty: none yet
+};
+Json to_record(const StoredJob& j);
+std::optional<StoredJob> stored_job(const Json& value, double wall);
+// Once a job is final only its size and its team still matter, so that its record always fits.
+JobSpec remains_of(const JobSpec& s);
+Json final_record(std::string_view status, Shape shape);
+struct StoredFinal {
+    std::string status;
+    bool service = false; // if known
+};
+std::optional<StoredFinal> stored_final(const Json& value);
+
 std::string job_answer(const std::string& id, std::string_view status);
 std::string job_answer(const std::string& id, std::string_view status, std::uint64_t done, std::uint64_t running);
 inline constexpr std::string_view status_pending = "pending", status_running = "running", status_done = "done",
--- a/include/heronshift/config.hpp
+++ b/include/heronshift/config.hpp
@@ -49,7 +49,7 @@
     std::vector<Objective> objectives;
     double report_s = 3, lease_s = 20, gang_wait_s = 40, gang_peer_s = 8, cancel_s = 40;
     double state_rps = 100, state_write_rps = 40, value_kb = 16;
-    int txn_ops = 16;
+    int txn_ops = 16; // these three: the smaller of now and later, where the store's limits will be lowered
     double cloud_rps = 2, list_lag_s = 5;
     double cores = 1, memory_mb = 128;
     int fd_limit = 1024;
--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -25,6 +25,15 @@
 struct JobStored {
     JobSpec spec;
     double age_s = 0;
+    double ready_age_s = -1; // below zero: as old as the job
+    bool waits = false;      // by its record: for jobs it needs
+};
+// What the store says of a job that another needs.
+enum class Known : std::uint8_t { no_answer, never, open, done, cancelled };
+struct JobFound {
+    std::string id;
+    Known state = Known::no_answer;
+    std::optional<JobStored> job; // its record, if that is there
 };
 struct CancelAsked {
     std::string id;
@@ -41,7 +50,7 @@
     bool sent = true;
     std::optional<Report> report;
 };
-enum class TxnOutcome : std::uint8_t { applied, refused, office_lost };
+enum class TxnOutcome : std::uint8_t { applied, refused, too_large, office_lost };
 struct Committed {
     TxnOutcome outcome = TxnOutcome::applied;
 };
@@ -62,8 +71,8 @@
 struct TypesKnown {
     std::vector<MachineType> types;
 };
-using Command =
-    std::variant<JobStored, CancelAsked, Beat, OrdersAnswered, Committed, Rented, Released, Listed, TypesKnown>;
+using Command = std::variant<JobStored, JobFound, CancelAsked, Beat, OrdersAnswered, Committed, Rented, Released,
+                             Listed, TypesKnown>;
 
 // Effects.
 struct Commit {
@@ -92,6 +101,9 @@
 struct Release {
     std::vector<std::string> machines;
 };
+struct FindJob { // in the store, answered by JobFound
+    std::string id;
+};
 struct StepDown {
     std::string why;
 };
@@ -99,7 +111,9 @@
     int level = 0; // 0 debug, 1 info, 2 warning
     std::string text;
 };
-using Effect = std::variant<Commit, SendOrders, BeatAnswer, CancelAnswer, Rent, Release, StepDown, Note>;
+using Effect = std::variant<Commit, SendOrders, BeatAnswer, CancelAnswer, Rent, Release, FindJob, StepDown, Note>;
+
+JobStored job_stored(codec::StoredJob&& r, double wall);
 
 struct JobView {
     std::string_view status;
@@ -133,6 +147,9 @@
     [[nodiscard]] std::optional<JobView> view(const std::string& id) const;
     [[nodiscard]] std::string metrics() const;
 
+    // The shape of a job that is alive here, which proves that it was accepted.
+    [[nodiscard]] std::optional<Shape> shape_of(const std::string& id) const;
+
     // For tests: what is believed to be on machines.
     [[nodiscard]] std::size_t live_tasks(const std::string& job) const;
     [[nodiscard]] std::size_t machines_up() const;
@@ -164,6 +181,7 @@
         double drain_s = 0, stop_at = -1, placed_at = 0, running_at = -1;
         std::uint64_t listed = 0;                            // the last report that listed it
         int slot = -1;                                       // of the ring; -1: not in a record yet
+        int carried_from = -1;                               // the record that still names it while it moves to another
         std::size_t at_machine = 0, at_job = 0, at_slot = 0; // its places in those lists
     };
     struct Job {
@@ -171,6 +189,12 @@
         int team = -1, image = -1;
         std::size_t bucket = 0;                    // of the progress records
         double submitted = 0, start_within_s = -1; // the aim of its class, below zero: none
+        double ready = 0;                          // since when: all but the deadline counts from there
+        bool waits = false;                        // for jobs it needs; nothing of it may start
+        bool dated = true;                         // its record no longer says that it waits
+        std::vector<std::string> unmet;            // needed, and not known to be done in the store
+        Rank rank = Rank::normal;                  // the most urgent of its own and those that need it
+        double latest = -1;                        // when those that need it want it done; below zero: never
         std::vector<Task> tasks;
         std::deque<std::uint32_t> pending;
         std::vector<Entry*> entries;
@@ -210,8 +234,8 @@
         double known_since = 0, up_since = -1;
         std::vector<std::unique_ptr<Entry>> entries;
         Resources used, whole;
-        Resources firm;        // used by what nothing takes the place of
-        bool retiring = false; // to become empty and go back
+        Resources firm;             // used by what nothing takes the place of
+        bool retiring = false;      // to become empty and go back
         bool presumed_dead = false; // a spot machine gone silent: given back, so that it is surely gone
         double asked_at = -1;
         bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
@@ -290,6 +314,17 @@
         effects_.push_back(Note{level, std::move(text)});
     }
 
+    // chains.cpp: jobs that wait for others
+    void handle(JobFound& c);
+    void join(Job& j);
+    void wait_for_needs(Job& j);
+    void become_ready(Job& j);
+    void need_settled(const std::string& id, Final f);
+    void raise_needs(Job& from);
+    void look_for(const std::string& id, double at);
+    void find_needs();
+    void forget_needs(Job& j);
+
     // records.cpp: what the store holds
     struct Draft;
     static std::size_t bucket_of(const std::string& id);
@@ -300,9 +335,11 @@
     void hold_unproven(const std::string& machine);
     void collect_commit();
     void draft_finals(Draft& d);
+    void draft_ready(Draft& d);
     void draft_intents(Draft& d);
     static std::string slot_text(std::vector<Entry*> list);
-    void draft_slot(Draft& d, std::size_t slot);
+    static bool may_record(const Entry& e);
+    bool draft_slot(Draft& d, std::size_t slot);
     void draft_progress(Draft& d);
     void draft_images(Draft& d);
     void load_images(const codec::Item& i);
@@ -383,7 +420,8 @@
     // The transaction being built and the one in flight.
     bool txn_open_ = false;
     double write_tokens_ = 0, tokens_at_ = 0;
-    std::deque<Job*> finals_;
+    std::deque<Job*> finals_, readies_;
+    std::size_t most_value_, most_ops_;    // of one record and one transaction: what the store takes
     std::deque<std::string> gone_records_; // keys that mean nothing any more
     // Placements are stored in a ring of records: new ones go, with what is still live of it, into
     // the record that was written longest ago. So a launch costs its share of one write.
@@ -395,6 +433,11 @@
     std::vector<Slot> ring_;
     std::vector<Entry*> unrecorded_;
     std::size_t next_slot_ = 0;
+    int too_long_ = -1; // a record of the ring that no longer fits: what is live of it is carried on
+    // Who needs a job that is not done, by name: either may be known here before the other.
+    std::unordered_map<std::string, std::set<std::string>> needed_by_;
+    std::multimap<double, std::string> to_find_; // needed and not known here, by when to ask
+    std::size_t finding_ = 0;
     struct Bucket { // a progress record: the done tasks of a share of the jobs
         bool dirty = false;
         double since = 0;
@@ -408,6 +451,7 @@
     std::map<std::string, double> released_; // surely gone, whatever a late list or report says
     struct InFlight {
         std::vector<std::pair<Job*, Final>> finals, moves;
+        std::vector<Job*> readies;
         std::vector<std::pair<Job*, std::vector<std::uint32_t>>> progress;
         std::vector<std::size_t> slots, buckets;
         std::vector<std::string> gone;
@@ -420,7 +464,8 @@
     std::unordered_map<std::string, int> image_ids_;
     std::vector<double> image_gb_;
     std::unordered_map<std::string, std::vector<int>> image_hints_; // of machines not known yet
-    std::size_t image_part_ = 0, image_parts_ = 1;
+    std::size_t image_part_ = 0, image_parts_ = 0;
+    std::string images_after_;
     double next_images_ = 0;
     // Machines whose records were damaged: until they have reported to us or their leases have
     // surely lapsed, any task read at the takeover may be on them.
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <unordered_set>
 
 namespace heronshift {
 
@@ -15,6 +16,7 @@
 public:
     RateBudget(double per_s, double burst) : rate_(per_s), burst_(burst), left_(burst) {}
     bool take(double now, double n = 1);
+    bool would_take(double now, double n);
     void set_rate(double per_s, double burst) {
         rate_ = per_s, burst_ = burst;
     }
@@ -70,12 +72,25 @@
     void forward(HttpRequest&& r, Responder res, std::function<void(Responder)> otherwise);
     // Fresh reads: the final state if there is one, else whether the job was accepted.
     struct Found {
-        bool known = false; // the store has answered
-        std::string status; // empty: never accepted
+        bool known = false;   // the store has answered
+        std::string status;   // empty: never accepted
+        bool service = false; // if its final state says so
         std::optional<codec::Item> job;
     };
     void look_up(const std::string& id, std::function<void(Found)> done);
     void store_job(JobSpec spec, HttpRequest&& request, Responder res, bool forwarded, int tries);
+    void accept(JobSpec spec, HttpRequest&& r, Responder res, bool forwarded);
+    // A submission that names other jobs, while it is being checked that these were accepted.
+    struct Chained {
+        JobSpec spec;
+        HttpRequest request;
+        Responder res;
+        bool forwarded = false;
+        double since = 0;
+        std::size_t next = 0;
+    };
+    void check_needs(const std::shared_ptr<Chained>& c);
+    void remember_accepted(const std::string& id);
     void learn_types();
     [[nodiscard]] std::string impossible(const JobSpec& s) const;
 
@@ -137,6 +152,8 @@
     };
     std::map<std::uint64_t, Open> beats_, cancels_;
     std::size_t lookups_ = 0;
+    std::unordered_set<std::string> accepted_;
+    std::deque<std::string> accepted_order_;
     struct Later {
         double at;
         std::function<void()> f;
--- a/include/heronshift/types.hpp
+++ b/include/heronshift/types.hpp
@@ -50,7 +50,9 @@
     std::string zone;               // empty: any
     bool one_zone = false, spread = false, spot = false;
     double estimate_s = 0, checkpoint_s = 0, save_s = 0;
-    double deadline_s = -1; // below zero: none
+    double deadline_s = -1;         // below zero: none
+    std::vector<std::string> needs; // jobs that must be done before any task of this one starts
+    bool needs_damaged = false;     // as stored: which, cannot be read
 };
 
 struct MachineType {
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -14,8 +14,8 @@
 constexpr double spare = 1.15;         // of what arrays need, kept
 constexpr double offered_leases = 3;   // lengths of a lease over which offered work is averaged
 constexpr double silent_reports = 1.5, dead_reports = 2.5; // intervals without a word
-constexpr double most_silent = 0.05;    // of a zone's ordinary machines; beyond, it is a cut
-constexpr double spare_gangs = 0.25;   // of the machines in use by gangs, kept free of gangs
+constexpr double most_silent = 0.05;                       // of a zone's ordinary machines; beyond, it is a cut
+constexpr double spare_gangs = 0.25;                       // of the machines in use by gangs, kept free of gangs
 
 template <class V> bool allows(const std::vector<std::string>& list, const V& name) {
     return list.empty() || std::find(list.begin(), list.end(), name) != list.end();
@@ -43,14 +43,15 @@
            now_ <= m.heard + 2 * s_.report_s;
 }
 
-// When a job should be complete by its owner's deadline or by the aim of its class; below zero: none.
+// When a job should be complete, by its owner's deadline, by those that need it or by the aim of its
+// class; below zero: none.
 double Core::due_at(const Job& j) const {
-    if (j.spec.deadline_s >= 0) return j.submitted + j.spec.deadline_s;
-    double within = -1;
-    for (const auto& o : s_.objectives)
-        if (o.kind == "finished" && o.job_class == j.spec.job_class && (within < 0 || o.within_s < within))
-            within = o.within_s;
-    return within < 0 ? -1 : j.submitted + within;
+    double due = j.spec.deadline_s >= 0 ? j.submitted + j.spec.deadline_s : 1e18;
+    if (j.latest >= 0) due = std::min(due, j.latest);
+    if (j.spec.deadline_s < 0 && !j.waits)
+        for (const auto& o : s_.objectives)
+            if (o.kind == "finished" && o.job_class == j.spec.job_class) due = std::min(due, j.ready + o.within_s);
+    return due < 1e18 ? due : -1;
 }
 
 // The CPUs that arrays need to be in time: of all jobs due before some moment, the work left over the
@@ -61,14 +62,14 @@
     };
     std::vector<Due> list;
     for (const auto& [id, j] : jobs_) {
-        if (j->spec.shape != Shape::array || j->final != Final::none) continue;
+        if (j->spec.shape != Shape::array || j->final != Final::none || j->waits) continue;
         const double each = j->spec.each.cpus, run = std::max(1.0, j->spec.estimate_s) * bias();
         const double waiting = static_cast<double>(j->pending.size());
         const double due = due_at(*j);
         double window = due < 0 ? 10 * run : (due - now_ - run) * window_used;
         if (j->guaranteed)
             for (const auto& o : s_.objectives)
-                if (o.kind == "guarantee") window = std::min(window, j->submitted + o.within_s - now_);
+                if (o.kind == "guarantee") window = std::min(window, j->ready + o.within_s - now_);
         list.push_back({std::max(window, 1e-3), each * run * (waiting + 0.5 * j->live), each * (waiting + j->live)});
     }
     std::sort(list.begin(), list.end(), [](const Due& a, const Due& b) { return a.window < b.window; });
@@ -87,7 +88,7 @@
     const double over = offered_leases * s_.lease_s;
     offered_ *= std::exp(-(now_ - offered_at_) / over);
     offered_at_ = now_;
-    offered_ += work_left(j) / over * std::exp(-std::max(0.0, now_ - j.submitted) / over);
+    offered_ += work_left(j) / over * std::exp(-std::max(0.0, now_ - j.ready) / over);
 }
 
 double Core::offered() const {
@@ -205,7 +206,8 @@
     }
     // Machines that boot for longer than a gang may wait must be there before it comes.
     for (const auto& [id, j] : jobs_)
-        if (j->spec.shape == Shape::gang && j->spec.each.gpus > 0 && j->final == Final::none) gang = j.get();
+        if (j->spec.shape == Shape::gang && j->spec.each.gpus > 0 && j->final == Final::none && !j->waits)
+            gang = j.get();
     if (gang != nullptr) source_for(*gang, static_cast<int>(keep_ready_) - ready);
     queue_rentals(wanted);
 }
@@ -330,7 +332,9 @@
     }
     for (auto* m : silent) {
         if (m->type < 0 && !asked_all_) continue;
-        if ((!m->spot && m->type >= 0) || now_ - std::max({m->heard, started_, m->known_since}) < dead_reports * s_.report_s) continue;
+        if ((!m->spot && m->type >= 0) ||
+            now_ - std::max({m->heard, started_, m->known_since}) < dead_reports * s_.report_s)
+            continue;
         const auto& ordinary = zones[{m->zone, false}];
         const auto& spot = zones[{m->zone, true}];
         const bool taken = m->draining && now_ > m->notice_until;
@@ -413,7 +417,7 @@
                          kind, s.up, s.pool, s.empty, s.booting, s.room, s.services, s.gangs, s.arrays));
     std::map<Rank, std::size_t> waiting;
     for (const auto& [id, j] : jobs_)
-        if (j->final == Final::none) waiting[j->spec.rank] += j->pending.size();
+        if (j->final == Final::none) waiting[j->rank] += j->pending.size();
     for (const auto& [rank, n] : waiting)
         note(0, fmt::format("waiting: {} tasks of rank {}", n, static_cast<int>(rank)));
 }
--- /dev/null
+++ b/src/chains.cpp
@@ -0,0 +1,176 @@
+// Jobs that wait for others: when they are ready, what a cancellation takes along, and what those
+// that need a job make of its order.
+#include "heronshift/core.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace heronshift {
+namespace {
+
+constexpr std::size_t finds_at_once = 8;
+constexpr double estimate_slack = 1.3; // owners' estimates of chained work are wrong by a third
+
+} // namespace
+
+// From now on it is work like any other: it waits for room, counts to its team and may be rented for.
+void Core::join(Job& j) {
+    if (j.team >= 0) {
+        auto& list = teams_[static_cast<std::size_t>(j.team)].jobs; // in the order they became ready
+        const auto at = std::find_if(list.rbegin(), list.rend(), [&](const Job* o) { return o->ready <= j.ready; });
+        list.insert(at.base(), &j);
+    }
+    for (std::uint32_t i = 0; i < j.spec.tasks; ++i) queue_task(j, i, false);
+    offer(j);
+    dirty_ = true;
+}
+
+// A need counts as met only once the store holds that it is done: what only this memory knows might
+// be run again by the next holder, and then a start would have been too early.
+void Core::wait_for_needs(Job& j) {
+    j.waits = true;
+    j.dated = false;
+    bool doomed = false;
+    for (const auto& id : j.spec.needs) {
+        if (const auto r = recent_.find(id); r != recent_.end()) {
+            doomed = doomed || r->second == Final::cancelled;
+            continue;
+        }
+        const auto* n = find_job(id);
+        if (n != nullptr && n->final_stored) {
+            doomed = doomed || n->final == Final::cancelled;
+            continue;
+        }
+        j.unmet.push_back(id);
+        needed_by_[id].insert(j.spec.id);
+        if (n == nullptr) look_for(id, now_);
+    }
+    if (j.spec.needs_damaged) {
+        j.unmet.emplace_back(); // never settled
+        note(2, fmt::format("job {} waits: its record does not say for which jobs", j.spec.id));
+    }
+    raise_needs(j);
+    if (doomed)
+        finalize(j, Final::cancelled);
+    else if (j.unmet.empty())
+        become_ready(j);
+}
+
+void Core::become_ready(Job& j) {
+    j.waits = false;
+    j.ready = now_;
+    readies_.push_back(&j);
+    note(0, fmt::format("job {} is ready, {:.1f} s after it was submitted", j.spec.id, now_ - j.submitted));
+    join(j);
+}
+
+// Called once the final state of a job is in the store. A cancellation takes along all that need it,
+// directly or not: as the first one is stored, every later holder finds the same.
+void Core::need_settled(const std::string& id, Final f) {
+    std::vector<std::string> settled{id};
+    while (!settled.empty()) {
+        const auto it = needed_by_.find(settled.back());
+        const auto need = std::move(settled.back());
+        settled.pop_back();
+        if (it == needed_by_.end()) continue;
+        const auto list = std::move(it->second);
+        needed_by_.erase(it);
+        for (const auto& by : list) {
+            auto* j = find_job(by);
+            if (j == nullptr || j->final != Final::none || !j->waits) continue;
+            if (f == Final::done) {
+                std::erase(j->unmet, need);
+                if (j->unmet.empty()) become_ready(*j);
+                continue;
+            }
+            note(1, fmt::format("job {} is cancelled, as {} is, which it needs", by, need));
+            finalize(*j, Final::cancelled);
+            settled.push_back(by);
+        }
+    }
+}
+
+// The backward pass: a job is as urgent as the most urgent that needs it, and is to be done before
+// the latest start of those. It goes on only where it changes something.
+void Core::raise_needs(Job& from) {
+    std::vector<Job*> stack{&from};
+    while (!stack.empty()) {
+        auto& j = *stack.back();
+        stack.pop_back();
+        if (j.final != Final::none) continue;
+        const double due = due_at(j);
+        const double start = due < 0 ? -1 : due - estimate_slack * std::max(1.0, j.spec.estimate_s) - s_.report_s;
+        for (const auto& id : j.unmet) {
+            auto* n = find_job(id);
+            if (n == nullptr || n->final != Final::none) continue;
+            bool changed = false;
+            if (j.rank < n->rank) {
+                n->rank = j.rank;
+                changed = true;
+            }
+            if (start >= 0 && (n->latest < 0 || start < n->latest)) {
+                n->latest = start;
+                changed = true;
+            }
+            if (changed) stack.push_back(n);
+        }
+    }
+}
+
+void Core::look_for(const std::string& id, double at) {
+    to_find_.emplace(at, id);
+}
+
+// Jobs that others need and that are not known here: finished before this term, or accepted by
+// another node a moment ago.
+void Core::find_needs() {
+    while (finding_ < finds_at_once && !to_find_.empty() && to_find_.begin()->first <= now_) {
+        auto id = std::move(to_find_.begin()->second);
+        to_find_.erase(to_find_.begin());
+        if (!needed_by_.contains(id)) continue;
+        if (const auto* n = find_job(id); n != nullptr) {
+            if (n->final_stored) need_settled(id, n->final);
+            continue;
+        }
+        if (const auto r = recent_.find(id); r != recent_.end()) {
+            need_settled(id, r->second);
+            continue;
+        }
+        ++finding_;
+        effects_.push_back(FindJob{std::move(id)});
+    }
+}
+
+void Core::handle(JobFound& c) {
+    if (finding_ > 0) --finding_;
+    switch (c.state) {
+    case Known::done:
+    case Known::cancelled: need_settled(c.id, c.state == Known::done ? Final::done : Final::cancelled); break;
+    case Known::open:
+        if (c.job) handle(*c.job);
+        look_for(c.id, now_ + s_.lease_s); // met by its own end, or else asked for again
+        break;
+    case Known::no_answer: look_for(c.id, now_ + s_.report_s / 10); break;
+    case Known::never:
+        if (const auto it = needed_by_.find(c.id); it != needed_by_.end())
+            note(2, fmt::format("job {} and {} others wait for {}, of which the store knows nothing",
+                                *it->second.begin(), it->second.size() - 1, c.id));
+    }
+}
+
+void Core::forget_needs(Job& j) {
+    for (const auto& id : j.unmet) {
+        const auto it = needed_by_.find(id);
+        if (it == needed_by_.end()) continue;
+        it->second.erase(j.spec.id);
+        if (it->second.empty()) needed_by_.erase(it);
+    }
+}
+
+std::optional<Shape> Core::shape_of(const std::string& id) const {
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end() || stepped_down_) return {};
+    return it->second->spec.shape;
+}
+
+} // namespace heronshift
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cmath>
 #include <fmt/format.h>
+#include <set>
 
 namespace heronshift::codec {
 namespace {
@@ -116,9 +117,24 @@
     return ExitCause::unknown;
 }
 
+// False if it is no list of job ids. Repeats count once.
+bool read_needs(const Json& j, std::vector<std::string>& out) {
+    const auto* f = field(j, "waitsOn");
+    if (f == nullptr) return true;
+    if (!f->is_array()) return false;
+    std::set<std::string_view> seen;
+    for (const auto& e : *f) {
+        if (!e.is_string() || !valid_job_id(e.get_ref<const std::string&>())) return false;
+        const auto& id = e.get_ref<const std::string&>();
+        if (seen.insert(id).second) out.push_back(id);
+    }
+    return true;
+}
+
 std::variant<JobSpec, Invalid> read_spec(const Json& j) {
     FieldReader r{j, {}};
     JobSpec s;
+    s.needs_damaged = !read_needs(j, s.needs);
     s.id = r.text("id", true);
     if (r.error.empty() && !valid_job_id(s.id)) r.complain("id", "must have the form wk-000412");
     s.job_class = r.text("jobclass", true);
@@ -183,7 +199,10 @@
     const auto j = parse(body);
     if (j.is_discarded()) return Invalid{"not JSON"};
     if (!j.is_object()) return Invalid{"not an object"};
-    return read_spec(j);
+    auto r = read_spec(j);
+    if (const auto* s = std::get_if<JobSpec>(&r); s != nullptr && s->needs_damaged)
+        return Invalid{"waitsOn: must be a list of job ids"};
+    return r;
 }
 
 Json to_json(const JobSpec& s) {
@@ -207,6 +226,7 @@
     if (s.checkpoint_s > 0) j["snapshotEveryS"] = s.checkpoint_s;
     if (s.save_s > 0) j["snapshotS"] = s.save_s;
     if (s.deadline_s >= 0) j["dueS"] = s.deadline_s;
+    if (!s.needs.empty()) j["waitsOn"] = s.needs;
     return j;
 }
 
@@ -217,6 +237,56 @@
     return {};
 }
 
+Json to_record(const StoredJob& j) {
+    Json r{{j.waits ? "chain" : "spec", to_json(j.spec)}, {"at", j.at}};
+    if (j.ready >= 0 && !j.waits) r["ready"] = j.ready;
+    if (!j.final.empty()) r["final"] = j.final;
+    return r;
+}
+
+std::optional<StoredJob> stored_job(const Json& value, double wall) {
+    if (!value.is_object()) return {};
+    StoredJob j;
+    const auto* spec = field(value, "spec");
+    if (spec == nullptr) {
+        spec = field(value, "chain");
+        j.waits = true;
+    }
+    if (spec == nullptr) return {};
+    auto s = spec_from_store(*spec);
+    if (!s) return {};
+    j.spec = std::move(*s);
+    j.at = number(value, "at", wall);
+    j.ready = number(value, "ready", -1);
+    j.final = text(value, "final");
+    return j;
+}
+
+JobSpec remains_of(const JobSpec& s) {
+    JobSpec r;
+    r.id = s.id;
+    r.job_class = r.image = "-";
+    r.team = s.team;
+    r.shape = s.shape;
+    r.rank = s.rank;
+    r.tasks = s.tasks;
+    r.each = s.each;
+    return r;
+}
+
+Json final_record(std::string_view status, Shape shape) {
+    Json r{{"s", status}};
+    if (shape == Shape::service) r["shape"] = name_of(shape);
+    return r;
+}
+
+std::optional<StoredFinal> stored_final(const Json& value) {
+    if (!value.is_object()) return {};
+    StoredFinal f{text(value, "s"), text(value, "shape") == name_of(Shape::service)};
+    if (f.status != status_done && f.status != status_cancelled) return {};
+    return f;
+}
+
 std::string job_answer(const std::string& id, std::string_view status) {
     return fmt::format(R"({{"id":"{}","status":"{}"}})", id, status);
 }
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -246,6 +246,16 @@
     s.state_write_rps = r.number(st, "facts.state.", "write_rps", 0, true);
     s.value_kb = r.number(st, "facts.state.", "value_kb", 1);
     s.txn_ops = static_cast<int>(r.number(st, "facts.state.", "txn_ops", 4));
+    // Lowered some time after an upgrade, without notice: what is written fits the smaller from the start.
+    if (st.contains("next")) {
+        const auto& next = r.table(st, "facts.state.", "next");
+        const std::string in = "facts.state.next.";
+        if (next.contains("write_rps"))
+            s.state_write_rps = std::min(s.state_write_rps, r.number(next, in, "write_rps", 0, true));
+        if (next.contains("value_kb")) s.value_kb = std::min(s.value_kb, r.number(next, in, "value_kb", 1));
+        if (next.contains("txn_ops"))
+            s.txn_ops = std::min(s.txn_ops, static_cast<int>(r.number(next, in, "txn_ops", 4)));
+    }
     const auto& c = r.table(f, "facts.", "cloud");
     s.cloud_rps = r.number(c, "facts.cloud.", "rps", 0, true);
     s.list_lag_s = r.number(c, "facts.cloud.", "list_lag_s", 0);
@@ -272,6 +282,8 @@
     line("facts.workers.cancel_s", s.cancel_s);
     line("facts.state.rps", s.state_rps);
     line("facts.state.write_rps", s.state_write_rps);
+    line("facts.state.value_kb", s.value_kb);
+    line("facts.state.txn_ops", s.txn_ops);
     line("facts.cloud.rps", s.cloud_rps);
     for (const auto& f : operator_fields) {
         if (f.number != nullptr)
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -11,11 +11,14 @@
 constexpr double drift = 1.001;
 constexpr double lapse_margin_reports = 0.05; // of report_s
 constexpr std::size_t most_orders = 200;      // to a machine at once
+constexpr double record_share = 0.85;         // of the longest value, the rest is for names and quoting
 
 } // namespace
 
 Core::Core(const Settings& settings, std::uint64_t term, const Snapshot& stored, double now, double wall)
-    : s_(settings), term_(term), now_(now), wall_(wall), started_(now), tokens_at_(now) {
+    : s_(settings), term_(term), now_(now), wall_(wall), started_(now), tokens_at_(now),
+      most_value_(static_cast<std::size_t>(s_.value_kb * 1024 * record_share)),
+      most_ops_(static_cast<std::size_t>(s_.txn_ops)) {
     for (const auto& t : s_.teams) teams_.push_back({t, {}, {}});
     write_tokens_ = s_.txn_ops;
     load(stored, wall);
@@ -113,6 +116,7 @@
         next_round_ = now_ + s_.ops.round_s;
         plan_round();
     }
+    find_needs();
     collect_commit();
     const auto due = std::move(to_dispatch_);
     to_dispatch_.clear();
@@ -122,7 +126,7 @@
     }
     ask_machines();
     wake_at_ = next_tick_;
-    if (!txn_open_ && (!finals_.empty() || !unrecorded_.empty()))
+    if (!txn_open_ && (!finals_.empty() || !readies_.empty() || !unrecorded_.empty()))
         wake_at_ = std::min(wake_at_, now_ + 1 / s_.state_write_rps); // as soon as the budget allows
     if (dirty_) wake_at_ = std::min(wake_at_, next_schedule_);
     return std::move(effects_);
@@ -133,6 +137,8 @@
     auto j = std::make_unique<Job>();
     j->spec = std::move(c.spec);
     j->submitted = now_ - c.age_s;
+    j->ready = now_ - (c.ready_age_s >= 0 ? c.ready_age_s : c.age_s);
+    j->rank = j->spec.rank;
     j->tasks.resize(j->spec.tasks);
     j->zone_live.resize(s_.zones.size() + 1);
     j->bucket = bucket_of(j->spec.id);
@@ -142,16 +148,15 @@
     j->image = image_id(j->spec.image, j->spec.image_gb);
     for (std::size_t i = 0; i < teams_.size(); ++i)
         if (teams_[i].limits.name == j->spec.team) j->team = static_cast<int>(i);
-    if (j->team >= 0) {
-        auto& list = teams_[static_cast<std::size_t>(j->team)].jobs; // in the order of submission
-        const auto at =
-            std::find_if(list.rbegin(), list.rend(), [&](const Job* o) { return o->submitted <= j->submitted; });
-        list.insert(at.base(), j.get());
-    }
-    for (std::uint32_t i = 0; i < j->spec.tasks; ++i) queue_task(*j, i, false);
-    offer(*j);
+    auto& stored = *j;
     jobs_.emplace(j->spec.id, std::move(j));
-    dirty_ = true;
+    if (const auto it = needed_by_.find(stored.spec.id); it != needed_by_.end())
+        for (const auto& id : it->second)
+            if (auto* n = find_job(id); n != nullptr) raise_needs(*n);
+    if (c.waits)
+        wait_for_needs(stored);
+    else
+        join(stored);
 }
 
 void Core::queue_task(Job& j, std::uint32_t index, bool front) {
@@ -281,6 +286,7 @@
     auto& j = *gone.job;
     leave_slot(gone);
     if (gone.slot >= 0) ++ring_[static_cast<std::size_t>(gone.slot)].stale;
+    if (gone.carried_from >= 0) ++ring_[static_cast<std::size_t>(gone.carried_from)].stale;
     j.entries[gone.at_job] = j.entries.back();
     j.entries[gone.at_job]->at_job = gone.at_job;
     j.entries.pop_back();
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -11,6 +11,8 @@
 constexpr int retry_soon_s = 1;
 constexpr double deaf_reports = 2.5; // intervals without a word from any worker: this node is cut off
 constexpr std::size_t few_machines = 4;
+constexpr std::size_t most_lookups = 100;     // under way
+constexpr std::size_t most_remembered = 2000; // jobs accepted lately
 constexpr const char* peer_prefix = "/peer";
 constexpr const char* not_now = R"({"error":"not now, try again"})";
 
@@ -24,10 +26,14 @@
 
 } // namespace
 
-bool RateBudget::take(double now, double n) {
+bool RateBudget::would_take(double now, double n) {
     left_ = std::min(burst_, left_ + (now - at_) * rate_);
     at_ = now;
-    if (left_ < n) return false;
+    return left_ >= n;
+}
+
+bool RateBudget::take(double now, double n) {
+    if (!would_take(now, n)) return false;
     left_ -= n;
     return true;
 }
@@ -212,14 +218,29 @@
             if (!f.known || gen != generation_) return open.res.send(503, not_now, retry_soon_s);
             if (f.status.empty()) return open.res.send(404, error_body("no such job"));
             if (f.status != codec::status_pending) return open.res.send(200, codec::job_answer(open.id, f.status));
-            if (f.job)
-                if (auto spec = codec::spec_from_store(f.job->value.value("spec", Json())); spec)
-                    push(JobStored{std::move(*spec), std::max(0.0, wall() - f.job->value.value("at", wall()))});
+            auto j = f.job ? codec::stored_job(f.job->value, wall()) : std::nullopt;
+            // A damaged record: nobody can do anything with such a job.
+            if (!j) return open.res.send(503, not_now, retry_soon_s);
+            push(job_stored(std::move(*j), wall()));
             const auto h = ++handle_seq_;
             cancels_[h] = {open.res, open.id, now()};
             push(CancelAsked{open.id, h});
             arm();
         });
+    } else if (auto* find = std::get_if<FindJob>(&effect)) {
+        look_up(find->id, [this, gen, id = find->id](Found f) {
+            if (gen != generation_) return;
+            JobFound c{id, Known::no_answer, std::nullopt};
+            if (f.known)
+                c.state = f.status.empty()                      ? Known::never
+                          : f.status == codec::status_done      ? Known::done
+                          : f.status == codec::status_cancelled ? Known::cancelled
+                                                                : Known::open;
+            if (f.job)
+                if (auto j = codec::stored_job(f.job->value, wall()); j) c.job = job_stored(std::move(*j), wall());
+            push(std::move(c));
+            arm();
+        });
     } else if (auto* rent = std::get_if<Rent>(&effect)) {
         cloud_request("POST", std::string(codec::path_rentals),
                       codec::rental(rent->claim, rent->type, rent->zone, rent->spot, rent->count),
@@ -435,7 +456,7 @@
 }
 
 void Node::look_up(const std::string& id, std::function<void(Found)> done) {
-    if (!store_budget_.take(now(), 2) || lookups_ > 100) {
+    if (!store_budget_.take(now(), 2) || lookups_ > most_lookups) {
         ++refused_;
         return done({});
     }
@@ -453,9 +474,11 @@
             --lookups_;
             if (q.status == 200) {
                 const auto item = codec::item(q.body);
-                if (!item || !item->value.is_object()) return done({});
-                f.status = item->value.value("s", std::string());
-                f.known = !f.status.empty();
+                const auto final = item ? codec::stored_final(item->value) : std::nullopt;
+                if (!final) return done({});
+                f.status = final->status;
+                f.service = final->service;
+                f.known = true;
             } else if (q.status == 404) {
                 f.known = true;
                 if (f.job) f.status = codec::status_pending;
@@ -498,6 +521,11 @@
     const double n = s.shape == Shape::array ? 1 : s.tasks;
     if (team->cpus_max > 0 && s.each.cpus * n > team->cpus_max + 1e-6) return "cpus: beyond the team's limit";
     if (team->gpus_max > 0 && s.each.gpus * n > team->gpus_max + 1e-6) return "accelerators: beyond the team's limit";
+    if (std::find(s.needs.begin(), s.needs.end(), s.id) != s.needs.end()) return "waitsOn: names the job itself";
+    // Its longest record, with the times written out.
+    const auto record = codec::to_record({s, 1e9 + 0.123456, 1e9 + 0.123456, !s.needs.empty(), {}}).dump().size() + 40;
+    if (record > static_cast<std::size_t>(s_.value_kb * 1024))
+        return fmt::format("the job's record is longer than the {} KiB that the state service takes", s_.value_kb);
     for (const auto& t : types_) {
         if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), t.name) == s.types.end()) continue;
         if (!s.zone.empty() && std::find(t.zones.begin(), t.zones.end(), s.zone) == t.zones.end()) continue;
@@ -537,6 +565,14 @@
         return;
     }
     auto spec = std::move(std::get<JobSpec>(parsed));
+    if (!spec.needs.empty()) {
+        auto c = std::make_shared<Chained>(Chained{std::move(spec), std::move(r), std::move(res), forwarded, now(), 0});
+        return check_needs(c);
+    }
+    accept(std::move(spec), std::move(r), std::move(res), forwarded);
+}
+
+void Node::accept(JobSpec spec, HttpRequest&& r, Responder res, bool forwarded) {
     if (!submit_budget_.take(now())) {
         ++refused_;
         spdlog::debug("submission of {} refused, too many at once", spec.id);
@@ -545,45 +581,86 @@
     store_job(std::move(spec), std::move(r), std::move(res), forwarded, 0);
 }
 
+// That a job was accepted stays true, so it is remembered; that it never was is said only after a
+// fresh read. One need after the other, within the budget for reads.
+void Node::check_needs(const std::shared_ptr<Chained>& c) {
+    for (; c->next < c->spec.needs.size(); ++c->next) {
+        const auto& id = c->spec.needs[c->next];
+        if (accepted_.contains(id)) continue;
+        if (const auto shape = valid() && core_ ? core_->shape_of(id) : std::nullopt; shape) {
+            if (*shape == Shape::service) return c->res.send(422, error_body("waitsOn: " + id + " is a service"));
+            continue;
+        }
+        if (!store_budget_.would_take(now(), 2) || lookups_ > most_lookups) {
+            if (now() - c->since > s_.report_s / 2) {
+                ++refused_;
+                return c->res.send(503, not_now, retry_soon_s);
+            }
+            return after(s_.report_s / 60, [this, c] { check_needs(c); });
+        }
+        return look_up(id, [this, c, id](Found f) {
+            if (!f.known) return c->res.send(503, not_now, retry_soon_s);
+            if (f.status.empty()) return c->res.send(422, error_body("waitsOn: " + id + " was never accepted"));
+            const auto j = f.job ? codec::stored_job(f.job->value, wall()) : std::nullopt;
+            if (f.service || (j && j->spec.shape == Shape::service))
+                return c->res.send(422, error_body("waitsOn: " + id + " is a service"));
+            remember_accepted(id);
+            check_needs(c);
+        });
+    }
+    accept(std::move(c->spec), std::move(c->request), std::move(c->res), c->forwarded);
+}
+
+void Node::remember_accepted(const std::string& id) {
+    if (!accepted_.insert(id).second) return;
+    accepted_order_.push_back(id);
+    if (accepted_order_.size() <= most_remembered) return;
+    accepted_.erase(accepted_order_.front());
+    accepted_order_.pop_front();
+}
+
 void Node::store_job(JobSpec spec, HttpRequest&& request, Responder res, bool forwarded, int tries) {
     const double at = wall();
+    const bool waits = !spec.needs.empty();
     const auto body = codec::txn({{"j/" + spec.id, 0}, {"f/" + spec.id, 0}},
-                                 {{"j/" + spec.id, Json{{"spec", codec::to_json(spec)}, {"at", at}}, 0}});
+                                 {{"j/" + spec.id, codec::to_record({spec, at, -1, waits, {}}), 0}});
     // Where the store does not answer this node, another may still be served within the user's time.
     const double patience = forwarded ? s_.report_s / 2 : s_.report_s / 10;
-    store_request(
-        "POST", std::string(codec::path_txn), body, patience,
-        [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries, at](HttpReply&& r) mutable {
-            const auto id = spec.id;
-            if (r.status == 200) {
-                if (core_ && office_ == Office::held) {
-                    push(JobStored{std::move(spec), std::max(0.0, wall() - at)});
-                    arm();
-                }
-                return res.send(201, codec::job_answer(id, codec::status_pending));
-            }
-            if (r.status == 409) {
-                return look_up(id, [id, res](Found f) {
-                    if (!f.known || f.status.empty()) return res.send(503, not_now, retry_soon_s);
-                    res.send(200, codec::job_answer(id, f.status));
-                });
-            }
-            // The budget is shared: a moment later there may be room.
-            if (r.status == 429 && tries < 3) {
-                after(0.05 * (1 + tries),
-                      [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries]() mutable {
-                          store_job(std::move(spec), std::move(request), res, forwarded, tries + 1);
-                      });
-                return;
-            }
-            const auto refuse = [this, id, status = r.status](const Responder& x) {
-                ++refused_;
-                spdlog::debug("submission of {} refused, the store said {}", id, status);
-                x.send(503, not_now, retry_soon_s);
-            };
-            if (forwarded || r.status == 429) return refuse(res);
-            forward(std::move(request), res, refuse);
-        });
+    store_request("POST", std::string(codec::path_txn), body, patience,
+                  [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries, at,
+                   waits](HttpReply&& r) mutable {
+                      const auto id = spec.id;
+                      if (r.status == 200) {
+                          if (spec.shape != Shape::service) remember_accepted(id);
+                          if (core_ && office_ == Office::held) {
+                              push(JobStored{std::move(spec), std::max(0.0, wall() - at), -1, waits});
+                              arm();
+                          }
+                          return res.send(201, codec::job_answer(id, codec::status_pending));
+                      }
+                      if (r.status == 409) {
+                          return look_up(id, [id, res](Found f) {
+                              if (!f.known || f.status.empty()) return res.send(503, not_now, retry_soon_s);
+                              res.send(200, codec::job_answer(id, f.status));
+                          });
+                      }
+                      // The budget is shared: a moment later there may be room.
+                      if (r.status == 429 && tries < 3) {
+                          after(0.05 * (1 + tries), [this, spec = std::move(spec), request = std::move(request), res,
+                                                     forwarded, tries]() mutable {
+                              store_job(std::move(spec), std::move(request), res, forwarded, tries + 1);
+                          });
+                          return;
+                      }
+                      const auto refuse = [this, id, status = r.status](const Responder& x) {
+                          ++refused_;
+                          spdlog::debug("submission of {} refused, the store said {}", id, status);
+                          x.send(503, not_now, retry_soon_s);
+                      };
+                      // A process of the version before would take a chained job for one that may start.
+                      if (forwarded || waits || r.status == 429) return refuse(res);
+                      forward(std::move(request), res, refuse);
+                  });
 }
 
 } // namespace heronshift
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -179,7 +179,7 @@
     spdlog::info("took office, term {}", term_);
     snapshot_ = {};
     // All at once: only jobs can still change, by other nodes, and those changes are followed.
-    loads_left_ = 6;
+    loads_left_ = 7;
     auto read = [this] {
         if (--loads_left_ > 0) return;
         core_ = std::make_unique<Core>(s_, term_, snapshot_, now(), wall());
@@ -195,7 +195,8 @@
     };
     load("j/", "", &snapshot_.jobs, read);
     load("i/", "", &snapshot_.intents, read);
-    load("p/", "", &snapshot_.progress, read);
+    load("p/", "", &snapshot_.progress, read); // as the versions before wrote it
+    load("q/", "", &snapshot_.progress, read);
     load("c/", "", &snapshot_.images, read);
     load("m/", "", &snapshot_.earlier, read);
     load("d/", "", &snapshot_.earlier, read);
@@ -278,8 +279,8 @@
                             snapshot_ = {};
                             load("j/", "", &snapshot_.jobs, [this, again] {
                                 for (auto& i : snapshot_.jobs)
-                                    if (auto spec = codec::spec_from_store(i.value.value("spec", Json())); spec)
-                                        push(JobStored{std::move(*spec), wall() - i.value.value("at", wall())});
+                                    if (auto j = codec::stored_job(i.value, wall()); j)
+                                        push(job_stored(std::move(*j), wall()));
                                 snapshot_ = {};
                                 arm();
                                 again(0);
@@ -290,9 +291,8 @@
                         if (!page) return again(s_.report_s / 10);
                         follow_epoch_ = std::max(follow_epoch_, page->epoch);
                         for (auto& i : page->items) {
-                            if (i.deleted || !i.value.is_object()) continue;
-                            if (auto spec = codec::spec_from_store(i.value.value("spec", Json())); spec)
-                                push(JobStored{std::move(*spec), std::max(0.0, wall() - i.value.value("at", wall()))});
+                            if (i.deleted) continue;
+                            if (auto j = codec::stored_job(i.value, wall()); j) push(job_stored(std::move(*j), wall()));
                         }
                         arm();
                         again(0);
@@ -320,9 +320,10 @@
                           // Surely not executed.
                           if (r.status == 400)
                               spdlog::error("the state service calls a transaction malformed: {}", r.body);
-                          after(s_.report_s / 20, [this, gen] {
+                          const auto outcome = r.status == 400 ? TxnOutcome::too_large : TxnOutcome::refused;
+                          after(s_.report_s / 20, [this, gen, outcome] {
                               if (gen != generation_) return;
-                              push(Committed{TxnOutcome::refused});
+                              push(Committed{outcome});
                               arm();
                           });
                           return;
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -15,13 +15,13 @@
 // Seconds that a task may wait for each CPU second of other work not lost.
 constexpr double chosen_already = 1000;
 constexpr double replica_loss_weight = 0.05, gang_loss_weight = 0.01;
-constexpr std::uint32_t few_runs = 3;  // of a job, before they say how long its tasks take
-constexpr double too_long = 1.5;       // of its longest run
+constexpr std::uint32_t few_runs = 3;                          // of a job, before they say how long its tasks take
+constexpr double too_long = 1.5;                               // of its longest run
 constexpr double long_if_most_through = 1.2, most_through = 4; // times as many as still run
-constexpr double most_slow = 0.15;     // of all machines: beyond, it is something else
-constexpr double tight_loss_s = 100;   // what the loss of a task weighs if its job would be late by it
-constexpr double late_start = 15;   // cost of a place where the start is too late for the aim of its class
-constexpr double good_place_s = 18; // cost of a place that is good enough not to look further
+constexpr double most_slow = 0.15;                             // of all machines: beyond, it is something else
+constexpr double tight_loss_s = 100; // what the loss of a task weighs if its job would be late by it
+constexpr double late_start = 15;    // cost of a place where the start is too late for the aim of its class
+constexpr double good_place_s = 18;  // cost of a place that is good enough not to look further
 
 std::uint32_t half_up(std::uint32_t n) {
     return (n + 1) / 2;
@@ -39,7 +39,7 @@
 void Core::choose_pool() {
     Resources need, largest;
     for (const auto& [id, j] : jobs_)
-        if (j->spec.shape == Shape::service && j->final == Final::none) {
+        if (j->spec.shape == Shape::service && j->final == Final::none && !j->waits) {
             need += j->spec.each * j->spec.tasks;
             largest.cpus = std::max(largest.cpus, j->spec.each.cpus);
             largest.memory_gb = std::max(largest.memory_gb, j->spec.each.memory_gb);
@@ -77,7 +77,7 @@
         return false;
     if (now_ < m.avoid_until || now_ > m.heard + 1.5 * s_.report_s) return false;
     if (now_ < m.slow_until && j.spec.shape != Shape::service) return false; // replicas have no speed
-    if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until && j.spec.rank >= m.reserved_rank)
+    if (m.reserved_for != nullptr && m.reserved_for != &j && now_ < m.reserved_until && j.rank >= m.reserved_rank)
         return false;
     const auto& spec = j.spec;
     // On the pool, room for the next replica stays free: making it would cost that replica's aim.
@@ -176,14 +176,14 @@
     // Among equals the job with the least work left goes first, since that brings the most jobs home
     // in time; having waited counts against it, so that large ones get their turn.
     std::unordered_map<const Job*, double> key;
-    for (const auto* j : out) key[j] = work_left(*j) / (std::max(1.0, j->spec.estimate_s) + now_ - j->submitted);
+    for (const auto* j : out) key[j] = work_left(*j) / (std::max(1.0, j->spec.estimate_s) + now_ - j->ready);
     std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
         // What may take the place of others goes first, or it would stop them and lose the room.
-        if (a->spec.rank != b->spec.rank) return a->spec.rank < b->spec.rank;
+        if (a->rank != b->rank) return a->rank < b->rank;
         if (a->guaranteed != b->guaranteed) return a->guaranteed;
         const double ka = key[a], kb = key[b];
         if (ka != kb) return ka < kb;
-        if (a->submitted != b->submitted) return a->submitted < b->submitted;
+        if (a->ready != b->ready) return a->ready < b->ready;
         return a->spec.id < b->spec.id;
     });
     return out;
@@ -195,6 +195,8 @@
 }
 
 void Core::place(Job& j, Machine& m) {
+    // Whoever asks: no task starts before all that its job needs is done and stored.
+    if (j.waits) return;
     while (!j.pending.empty()) {
         const auto i = j.pending.front();
         j.pending.pop_front();
@@ -316,8 +318,10 @@
         if (j.spec.each.fits(m->whole - m->used) && usable(*m, j))
             free_cost = std::min(free_cost, placement_cost(*m, j));
     j.good_room = now_ >= j.room_until && make_room(j, free_cost) > 0;
-    if (j.good_room) j.room_until = now_ + s_.report_s / 6;
-    else placed += place(1e18);
+    if (j.good_room)
+        j.room_until = now_ + s_.report_s / 6;
+    else
+        placed += place(1e18);
     return placed;
 }
 
@@ -351,7 +355,7 @@
             const auto& v = e->job->spec;
             if (e->stop)
                 free += v.each;
-            else if (v.rank > j.spec.rank && v.shape == Shape::array)
+            else if (e->job->rank > j.rank && v.shape == Shape::array)
                 order.emplace_back(loss_of(*e), e.get());
         }
         std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -380,7 +384,7 @@
     if (!r.victims.empty())
         note(0, fmt::format("job {} takes the place of {} tasks on {}", j.spec.id, r.victims.size(), r.machine->id));
     r.machine->reserved_for = &j;
-    r.machine->reserved_rank = j.spec.rank;
+    r.machine->reserved_rank = j.rank;
     r.machine->reserved_until = now_ + s_.report_s;
     r.machine->reserved_tasks = r.tasks;
 }
@@ -416,7 +420,7 @@
     j.room_until = now_ + s_.report_s / 10; // looking at all machines takes time
     std::vector<Room> best;
     double best_cost = 1e18;
-    const bool may_stop = j.spec.rank <= Rank::high;
+    const bool may_stop = j.rank <= Rank::high;
     const int tries = j.spec.one_zone ? static_cast<int>(s_.zones.size()) : 1;
     for (int z = 0; z < tries; ++z) {
         std::vector<Room> rooms;
@@ -474,7 +478,7 @@
         const bool hopeless =
             std::any_of(failed.begin(), failed.end(),
                         [&](const Failed& f) { return f.each.fits(j.spec.each) && (f.spot || !j.spec.spot); }) &&
-            j.spec.rank > Rank::high; // room may have been made for those
+            j.rank > Rank::high; // room may have been made for those
         if (!hopeless) {
             if (j.spec.shape == Shape::gang) {
                 if (place_gang(j)) budget -= static_cast<int>(j.spec.tasks);
@@ -487,7 +491,7 @@
                 std::size_t total = j.pending.size();
                 for (std::size_t i = k + 1; i < jobs.size() && total < static_cast<std::size_t>(s_.ops.batch); ++i) {
                     const auto& o = jobs[i]->spec;
-                    if (o.shape == Shape::gang || o.spread || o.one_zone || o.rank != j.spec.rank) break;
+                    if (o.shape == Shape::gang || o.spread || o.one_zone || jobs[i]->rank != j.rank) break;
                     batch.push_back(jobs[i]);
                     total += jobs[i]->pending.size();
                 }
@@ -498,7 +502,7 @@
         if (j.pending.empty() || j.live == j.spec.tasks) continue;
         if (budget <= 0) break;
         if (plain && j.spec.shape != Shape::gang && quota_room(j) > 0) failed.push_back({j.spec.each, j.spec.spot});
-        if (j.spec.shape != Shape::gang && j.spec.rank <= Rank::high && now_ >= j.room_until) {
+        if (j.spec.shape != Shape::gang && j.rank <= Rank::high && now_ >= j.room_until) {
             j.room_until = now_ + s_.report_s / 2;
             make_room(j, 1e18);
         }
@@ -608,7 +612,7 @@
     double replicas = 0;
     for (auto& [id, j] : jobs_) {
         if (j->final != Final::none) continue;
-        if (!j->pending.empty() && j->spec.rank <= Rank::high) return;
+        if (!j->pending.empty() && j->rank <= Rank::high) return;
         if (j->spec.shape == Shape::service) replicas += j->live;
     }
     const int more = static_cast<int>(replicas * moved_share);
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -4,15 +4,18 @@
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
+#include <utility>
 
 namespace heronshift {
 namespace {
 
 constexpr std::size_t first_slots = 32; // the ring grows when its records fill up
-constexpr std::size_t progress_records = 16;
-constexpr std::size_t most_txn_bytes = 48 * 1024; // of 64 KiB
-constexpr double fewest_writes = 5;               // saved up before a transaction, its own count included
-constexpr double record_share = 0.75;             // of the longest value, the rest is for names and quoting
+constexpr std::size_t progress_records = 64;
+constexpr double progress_share = 0.15;                 // of the store's changes, at the most
+constexpr std::size_t most_txn_bytes = 48 * 1024;       // of 64 KiB
+constexpr double fewest_writes = 5;                     // saved up before a transaction, its own count included
+constexpr std::size_t few_placements = 16;              // not stored yet
+constexpr std::size_t least_value = 512, least_ops = 4; // however often the store calls them too large
 
 const char* word_of(bool done) {
     return done ? codec::status_done.data() : codec::status_cancelled.data();
@@ -22,7 +25,7 @@
     return fmt::format("i/{}", slot);
 }
 std::string bucket_key(std::size_t bucket) {
-    return fmt::format("p/{}", bucket);
+    return fmt::format("q/{}", bucket); // the versions before had fewer, longer ones under p/
 }
 
 // The number behind a prefix, or nothing.
@@ -60,23 +63,20 @@
     ring_.resize(first_slots);
     buckets_.resize(progress_records);
     for (const auto& i : stored.jobs) {
-        if (!i.value.is_object()) continue;
-        if (!i.value.contains("spec")) continue;
-        auto spec = codec::spec_from_store(i.value["spec"]);
-        if (!spec) continue;
-        const auto id = spec->id;
-        JobStored c{std::move(*spec), std::max(0.0, wall - i.value.value("at", wall))};
+        auto r = codec::stored_job(i.value, wall);
+        if (!r) continue;
+        const auto id = r->spec.id;
+        auto c = job_stored(std::move(*r), wall);
         handle(c);
-        const auto f = i.value.value("final", std::string());
-        if (auto* j = find_job(id); j != nullptr && !f.empty()) {
-            j->final = f == codec::status_done ? Final::done : Final::cancelled;
+        if (auto* j = find_job(id); j != nullptr && !r->final.empty()) {
+            j->final = r->final == codec::status_done ? Final::done : Final::cancelled;
             j->final_stored = true;
         }
     }
     for (const auto& i : stored.images) load_images(i);
     for (const auto& i : stored.progress) {
-        const auto n = number_of(i.key);
-        if (!n || *n >= progress_records) gone_records_.push_back(i.key);
+        // Those of the version before are left as they are: its processes may take office again, and
+        // what was done stays done.
         if (!i.value.is_object()) continue;
         for (const auto& [id, ranges] : i.value.items())
             if (auto* j = find_job(id); j != nullptr && ranges.is_string()) load_done(*j, ranges.get<std::string>());
@@ -216,6 +216,10 @@
     list.pop_back();
 }
 
+JobStored job_stored(codec::StoredJob&& r, double wall) {
+    return {std::move(r.spec), std::max(0.0, wall - r.at), r.ready < 0 ? -1 : std::max(0.0, wall - r.ready), r.waits};
+}
+
 // A final state is told only once it is stored. The job's record goes when none of its tasks is
 // left on any machine; until then it names the final state, so that no later holder starts any.
 void Core::draft_finals(Draft& d) {
@@ -226,20 +230,36 @@
         finals_.pop_front();
         j->final_queued = false;
         const auto* status = word_of(j->final == Final::done);
-        if (!j->final_stored) d.add("f/" + j->spec.id, codec::Json{{"s", status}}, 20);
+        if (!j->final_stored) d.add("f/" + j->spec.id, codec::final_record(status, j->spec.shape), 40);
         if (j->live == 0) {
             d.add("j/" + j->spec.id, std::nullopt, 0);
             f.moves.emplace_back(j, j->final);
         } else if (!j->final_stored) {
             d.add("j/" + j->spec.id,
-                  codec::Json{
-                      {"spec", codec::to_json(j->spec)}, {"at", wall_ - (now_ - j->submitted)}, {"final", status}},
-                  600);
+                  codec::to_record(
+                      {codec::remains_of(j->spec), wall_ - (now_ - j->submitted), -1, false, std::string(status)}),
+                  300);
             f.finals.emplace_back(j, j->final);
         }
     }
 }
 
+// The record of a job that has become ready loses its chain: from then on any holder, of whatever
+// version, may run it. It goes before the job's first placements, or with them.
+void Core::draft_ready(Draft& d) {
+    while (!readies_.empty() && !d.full(1)) {
+        auto* j = readies_.front();
+        readies_.pop_front();
+        if (j->final != Final::none) continue;
+        auto spec = j->spec;
+        spec.needs.clear();
+        d.add("j/" + spec.id,
+              codec::to_record({spec, wall_ - (now_ - j->submitted), wall_ - (now_ - j->ready), false, {}}), 600);
+        j->dated = true;
+        in_flight_.readies.push_back(j);
+    }
+}
+
 std::string Core::slot_text(std::vector<Entry*> list) {
     std::sort(list.begin(), list.end(), [](const Entry* a, const Entry* b) {
         if (a->machine != b->machine) return a->machine->id < b->machine->id;
@@ -254,36 +274,72 @@
     return w.take();
 }
 
-// Writes one record of the ring: what is still live of it and, room permitting, new placements.
-void Core::draft_slot(Draft& d, std::size_t slot) {
+// A placement is not stored before its job's record says that the job no longer waits.
+bool Core::may_record(const Entry& e) {
+    return e.job->dated || e.job->final != Final::none;
+}
+
+// Writes one record of the ring: what is still live of it and, room permitting, new placements and
+// what is carried on from a record that was written when the store took longer values. Until that
+// has succeeded the long record names it too, so that nothing live is ever missing from the store.
+bool Core::draft_slot(Draft& d, std::size_t slot) {
     auto& list = ring_[slot].entries;
-    if (!unrecorded_.empty()) {
-        const auto most = static_cast<std::size_t>(s_.value_kb * 1024 * record_share);
-        auto size = slot_text(list).size();
-        while (!unrecorded_.empty()) {
-            auto* e = unrecorded_.back();
-            // At most a line of its own: names, a tenure, an index and an attempt.
-            size += e->machine->id.size() + e->machine->zone_name.size() + e->job->spec.id.size() + 40;
-            if (size > most) break;
-            leave_slot(*e);
-            put_in_slot(*e, static_cast<int>(slot));
-            if (e->phase == Phase::intent) e->phase = Phase::storing;
+    auto text = slot_text(list);
+    if (text.size() > most_value_) {
+        too_long_ = static_cast<int>(slot);
+        return false;
+    }
+    if (too_long_ == static_cast<int>(slot)) too_long_ = -1;
+    auto size = text.size();
+    // At most a line of its own: names, a tenure, an index and an attempt.
+    auto take = [&](Entry& e) {
+        size += e.machine->id.size() + e.machine->zone_name.size() + e.job->spec.id.size() + 40;
+        if (size > most_value_) return false;
+        leave_slot(e);
+        put_in_slot(e, static_cast<int>(slot));
+        return true;
+    };
+    const auto before = list.size();
+    for (std::size_t i = unrecorded_.size(); i-- > 0;) {
+        auto* e = unrecorded_[i];
+        if (!may_record(*e)) continue;
+        if (!take(*e)) break;
+        if (e->phase == Phase::intent) e->phase = Phase::storing;
+    }
+    if (too_long_ >= 0) {
+        auto& from = ring_[static_cast<std::size_t>(too_long_)].entries;
+        while (!from.empty()) {
+            auto* e = from.back();
+            if (!take(*e)) break;
+            e->carried_from = too_long_;
         }
+        if (from.empty()) too_long_ = -1;
     }
-    auto text = slot_text(list);
-    const auto size = text.size();
+    if (list.size() != before) text = slot_text(list);
+    size = text.size();
     d.add(slot_key(slot), codec::Json{{"t", std::move(text)}}, size);
     ring_[slot].stale = 0;
     ring_[slot].size = size;
     in_flight_.slots.push_back(slot);
+    return true;
 }
 
 void Core::draft_intents(Draft& d) {
-    const auto most = static_cast<std::size_t>(s_.value_kb * 1024 * record_share);
     auto advance = [&] { next_slot_ = (next_slot_ + 1) % ring_.size(); };
-    for (std::size_t n = 0; !unrecorded_.empty() && !d.full(1) && n < first_slots; ++n, advance()) {
+    auto more = [&] {
+        return std::any_of(unrecorded_.begin(), unrecorded_.end(), [](const Entry* e) { return may_record(*e); });
+    };
+    if (unrecorded_.size() > few_placements) {
+        // Where the store takes fewer than are placed: the most urgent and the oldest first, from the end.
+        std::stable_sort(unrecorded_.begin(), unrecorded_.end(), [](const Entry* a, const Entry* b) {
+            if (a->job->rank != b->job->rank) return a->job->rank > b->job->rank;
+            return a->placed_at > b->placed_at;
+        });
+        for (std::size_t i = 0; i < unrecorded_.size(); ++i) unrecorded_[i]->at_slot = i;
+    }
+    for (std::size_t n = 0; n < first_slots && !d.full(1) && more(); ++n, advance()) {
         const auto& slot = ring_[next_slot_];
-        if (slot.size <= most / 2 || slot.stale > slot.entries.size()) {
+        if (slot.size <= most_value_ / 2 || slot.stale > slot.entries.size()) {
             draft_slot(d, next_slot_);
         } else {
             // Carrying so much on would leave too little room: the ring grows instead.
@@ -292,11 +348,12 @@
         }
     }
     // Records that name what is long gone would keep its place after a takeover.
-    if (!unrecorded_.empty() || now_ < next_idle_write_ || d.full(static_cast<std::size_t>(s_.txn_ops) / 2)) return;
+    if (now_ < next_idle_write_ || d.full(most_ops_ / 2) || more()) return;
     for (std::size_t n = 0; n < ring_.size(); ++n, advance()) {
-        if (ring_[next_slot_].stale == 0) continue;
+        if (ring_[next_slot_].stale == 0 && too_long_ < 0) continue;
+        if (std::find(in_flight_.slots.begin(), in_flight_.slots.end(), next_slot_) != in_flight_.slots.end()) continue;
+        if (!draft_slot(d, next_slot_)) continue;
         next_idle_write_ = now_ + s_.report_s / 10;
-        draft_slot(d, next_slot_);
         advance();
         return;
     }
@@ -305,13 +362,14 @@
 // Progress gathers for a while: losing it costs only an image fetch, since a finished task that is
 // started again ends at once.
 void Core::draft_progress(Draft& d) {
+    const double gather =
+        std::max(s_.report_s, static_cast<double>(progress_records) / (progress_share * s_.state_write_rps));
     for (std::size_t b = 0; b < buckets_.size() && !d.full(1); ++b) {
-        if (!buckets_[b].dirty || now_ - buckets_[b].since < s_.report_s) continue;
+        if (!buckets_[b].dirty || now_ - buckets_[b].since < gather) continue;
         std::vector<Job*> jobs;
         for (auto& [id, j] : jobs_)
             if (j->bucket == b && j->final == Final::none && j->done > 0) jobs.push_back(j.get());
-        const auto most =
-            static_cast<std::size_t>(s_.value_kb * 1024 * record_share) / std::max<std::size_t>(1, jobs.size());
+        const auto most = most_value_ / std::max<std::size_t>(1, jobs.size());
         auto value = codec::Json::object();
         std::size_t size = 0;
         for (auto* j : jobs) {
@@ -331,37 +389,48 @@
 }
 
 // Which machine has which image is a hint that spares the next holder fetches; it is written now and
-// then, a part of the machines at a time.
+// then, a part of the machines at a time, each with the names it needs.
 void Core::draft_images(Draft& d) {
-    if (now_ < next_images_ || machines_.empty() || d.full(static_cast<std::size_t>(s_.txn_ops) / 2)) return;
+    if (now_ < next_images_ || machines_.empty() || d.full(most_ops_ / 2)) return;
     next_images_ = now_ + 2 * s_.report_s;
-    const auto digits = image_gb_.size() / 4 + 1;
-    const auto most = static_cast<std::size_t>(s_.value_kb * 1024 * record_share / 2) / (digits + 24);
-    const auto parts = machines_.size() / std::max<std::size_t>(1, most) + 1;
-    image_part_ = (image_part_ + 1) % std::max(parts, image_parts_);
-    image_parts_ = parts;
-    const auto key = fmt::format("c/{}", image_part_);
-    if (image_part_ >= parts) return d.add(key, std::nullopt, 0);
-    auto names = codec::Json::array();
     std::vector<const std::string*> by_id(image_gb_.size());
     for (const auto& [name, id] : image_ids_) by_id[static_cast<std::size_t>(id)] = &name;
-    for (std::size_t i = 0; i < by_id.size(); ++i) names.push_back({*by_id[i], image_gb_[i]});
+    std::unordered_map<int, std::size_t> place;
+    auto names = codec::Json::array();
     auto held = codec::Json::object();
-    std::size_t at = 0;
-    for (const auto& [id, m] : machines_) {
-        if (at++ % parts != image_part_ || m->images.empty()) continue;
+    std::size_t size = 40;
+    auto it = image_part_ == 0 ? machines_.begin() : machines_.upper_bound(images_after_);
+    for (; it != machines_.end(); ++it) {
+        const auto& m = *it->second;
+        std::size_t more = m.id.size() + 8;
+        for (const auto& c : m.images)
+            if (c.ready)
+                more += 4 + (place.contains(c.image) ? 0 : by_id[static_cast<std::size_t>(c.image)]->size() + 28);
+        if (size + more > most_value_) break;
+        size += more;
         auto list = codec::Json::array();
-        for (const auto& c : m->images)
-            if (c.ready) list.push_back(c.image);
-        held[id] = std::move(list);
+        for (const auto& c : m.images) {
+            if (!c.ready) continue;
+            const auto [at, fresh] = place.emplace(c.image, names.size());
+            const auto i = static_cast<std::size_t>(c.image);
+            if (fresh) names.push_back({*by_id[i], image_gb_[i]});
+            list.push_back(at->second);
+        }
+        if (!list.empty()) held[m.id] = std::move(list);
+        images_after_ = m.id;
+    }
+    // What the cluster was larger for goes when the parts begin anew.
+    const auto part = image_part_++;
+    if (it == machines_.end()) {
+        for (auto k = image_part_; k < image_parts_; ++k) gone_records_.push_back(fmt::format("c/{}", k));
+        image_parts_ = image_part_;
+        image_part_ = 0;
     }
-    auto value = codec::Json{{"names", std::move(names)}, {"held", std::move(held)}};
-    const auto size = value.dump().size();
-    if (size > static_cast<std::size_t>(s_.value_kb * 1024)) return; // a hint only
-    d.add(key, std::move(value), size);
+    d.add(fmt::format("c/{}", part), codec::Json{{"names", std::move(names)}, {"held", std::move(held)}}, size);
 }
 
 void Core::load_images(const codec::Item& i) {
+    if (const auto n = number_of(i.key); n) image_parts_ = std::max(image_parts_, *n + 1);
     if (!i.value.is_object() || !i.value.contains("names") || !i.value.contains("held")) return;
     const auto& names = i.value["names"];
     const auto& held = i.value["held"];
@@ -391,9 +460,10 @@
     // states would never find the two or three they need together.
     if (write_tokens_ < std::min(fewest_writes, most_saved)) return;
     Draft d;
-    d.most = std::min(static_cast<std::size_t>(s_.txn_ops), static_cast<std::size_t>(write_tokens_)) - 1;
+    d.most = std::min(most_ops_, static_cast<std::size_t>(write_tokens_)) - 1;
     in_flight_ = {};
     draft_finals(d);
+    draft_ready(d);
     draft_intents(d);
     while (!gone_records_.empty() && !d.full(1)) {
         d.add(gone_records_.front(), std::nullopt, 0);
@@ -418,6 +488,13 @@
     }
     const bool ok = c.outcome == TxnOutcome::applied;
     if (ok) ++committed_;
+    if (c.outcome == TxnOutcome::too_large) {
+        // The store takes less than the settings say: never the same again.
+        most_value_ = std::max(most_value_ / 2, least_value);
+        most_ops_ = std::max(most_ops_ / 2, least_ops);
+        note(2, fmt::format("the store takes no such transaction, from now on {} bytes a record and {} changes",
+                            most_value_, most_ops_));
+    }
     auto answer = [&](Job& j) {
         for (const auto h : j.cancels) effects_.push_back(CancelAnswer{h, word_of(j.final == Final::done)});
         j.cancels.clear();
@@ -434,8 +511,14 @@
         }
         j->final_stored = true;
         answer(*j);
+        need_settled(j->spec.id, j->final);
         if (j->live == 0) again(*j);
     }
+    if (!ok)
+        for (auto* j : f.readies) {
+            j->dated = false;
+            readies_.push_back(j);
+        }
     for (auto& [j, list] : f.progress) {
         if (ok)
             for (const auto i : list) j->tasks[i].stored = true;
@@ -447,7 +530,10 @@
     for (const auto s : f.slots) {
         const auto list = ring_[s].entries;
         for (auto* e : list) {
-            if (ok) {
+            if (const int from = std::exchange(e->carried_from, -1); from >= 0) {
+                if (ok) ++ring_[static_cast<std::size_t>(from)].stale;
+                if (!ok) leave_slot(*e), put_in_slot(*e, from);
+            } else if (ok) {
                 e->recorded = true;
             } else if (!e->recorded) {
                 leave_slot(*e);
@@ -468,6 +554,7 @@
         }
         j->final_stored = true;
         answer(*j);
+        need_settled(j->spec.id, j->final);
         drop_job(*j);
     }
 }
@@ -484,6 +571,8 @@
     if (j.live > 0) return; // something showed up meanwhile: it is stopped first
     if (j.team >= 0) std::erase(teams_[static_cast<std::size_t>(j.team)].jobs, &j);
     std::erase(finals_, &j);
+    std::erase(readies_, &j);
+    forget_needs(j);
     jobs_.erase(std::string(j.spec.id));
 }
 
