--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -429,8 +429,8 @@
     // the record that was written longest ago. So a launch costs its share of one write.
     struct Slot {
         std::vector<Entry*> entries;
-        std::size_t stale = 0; // named in the store though gone
-        std::size_t size = 0;  // as last written
+        std::size_t stale = 0;             // named in the store though gone
+        std::size_t size = 0, written = 0; // its length and placements, as last written
     };
     std::vector<Slot> ring_;
     std::vector<Entry*> unrecorded_;
--- a/include/heronshift/intents.hpp
+++ b/include/heronshift/intents.hpp
@@ -33,7 +33,7 @@
 
 private:
     void end_range();
-    std::string text_, machine_, job_;
+    std::string text_, machine_, zone_, job_;
     std::uint64_t tenure_ = 0, try_no_ = 0;
     std::uint32_t first_ = 0, last_ = 0;
     bool open_ = false;
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -415,6 +415,13 @@
              fmt::format("fleet: {}: {} up ({} pool, {} empty), {} booting, of {:.0f} CPUs {:.0f} in services, {:.0f} "
                          "in gangs, {:.0f} in arrays",
                          kind, s.up, s.pool, s.empty, s.booting, s.room, s.services, s.gangs, s.arrays));
+    std::map<Phase, std::size_t> phases;
+    for (const auto& [id, m] : machines_)
+        for (const auto& e : m->entries) ++phases[e->phase];
+    note(0,
+         fmt::format("tasks: {} placed, {} being stored, {} to be sent, {} sent, {} fetching, {} waiting, {} running",
+                     phases[Phase::intent], phases[Phase::storing], phases[Phase::stored], phases[Phase::sent],
+                     phases[Phase::fetching], phases[Phase::waiting], phases[Phase::running]));
     std::map<Rank, std::size_t> waiting;
     for (const auto& [id, j] : jobs_)
         if (j->final == Final::none) waiting[j->rank] += j->pending.size();
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -11,7 +11,7 @@
 constexpr double drift = 1.001;
 constexpr double lapse_margin_reports = 0.05; // of report_s
 constexpr std::size_t most_orders = 200;      // to a machine at once
-constexpr double record_share = 0.85;         // of the longest value, the rest is for names and quoting
+constexpr double record_share = 0.92;         // of the longest value, the rest is for names and quoting
 
 } // namespace
 
--- a/src/intents.cpp
+++ b/src/intents.cpp
@@ -49,7 +49,7 @@
 
 void Writer::add(std::string_view machine, std::string_view zone, std::uint64_t tenure, std::string_view job,
                  std::uint32_t index, std::uint64_t try_no) {
-    const bool same_machine = machine == machine_ && tenure == tenure_;
+    const bool same_machine = machine == machine_ && zone == zone_ && tenure == tenure_;
     if (open_ && same_machine && job == job_ && try_no == try_no_ && index == last_ + 1) {
         last_ = index;
         return;
@@ -59,6 +59,7 @@
         if (!text_.empty()) text_ += '\n';
         text_ += fmt::format("{} {} {}", machine, zone.empty() ? "-" : zone, tenure);
         machine_ = machine;
+        zone_ = zone;
         tenure_ = tenure;
     }
     job_ = job;
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -14,6 +14,7 @@
 constexpr double progress_share = 0.15;                 // of the store's changes, at the most
 constexpr std::size_t most_txn_bytes = 48 * 1024;       // of 64 KiB
 constexpr double fewest_writes = 5;                     // saved up before a transaction, its own count included
+constexpr double carried_share = 0.25;                  // of a record, written again with what is new
 constexpr std::size_t few_placements = 16;              // not stored yet
 constexpr std::size_t many_finals = 8;                  // that wait to be stored
 constexpr std::size_t least_value = 512, least_ops = 4; // however often the store calls them too large
@@ -94,10 +95,13 @@
         for (const auto& x : r.intents) load_intent(x, n ? static_cast<int>(*n) : -1);
         for (const auto& m : r.unproven) hold_unproven(m);
         if (r.damaged) hold_unproven("");
-        if (n)
+        if (n) {
             ring_[*n].stale += 1; // written again before long, whatever it named
-        else
+            ring_[*n].size = text ? i.value["t"].get_ref<const std::string&>().size() : 0;
+            ring_[*n].written = std::max<std::size_t>(1, r.intents.size());
+        } else {
             gone_records_.push_back(i.key);
+        }
     }
     load_earlier(stored);
     for (auto& [id, j] : jobs_) {
@@ -266,16 +270,20 @@
 }
 
 std::string Core::slot_text(std::vector<Entry*> list) {
-    std::sort(list.begin(), list.end(), [](const Entry* a, const Entry* b) {
+    const auto zone_matters = [](const Entry* e) { return e->job->spec.spread || e->job->spec.one_zone; };
+    std::sort(list.begin(), list.end(), [&](const Entry* a, const Entry* b) {
         if (a->machine != b->machine) return a->machine->id < b->machine->id;
         if (a->tenure != b->tenure) return a->tenure < b->tenure;
+        if (zone_matters(a) != zone_matters(b)) return zone_matters(a);
         if (a->job != b->job) return a->job->spec.id < b->job->spec.id;
         if (a->try_no != b->try_no) return a->try_no < b->try_no;
         return a->index < b->index;
     });
     intents::Writer w;
+    // The zone is a third of a line, and what has no rules about zones may be in an unknown one.
     for (const auto* e : list)
-        w.add(e->machine->id, e->machine->zone_name, e->tenure, e->job->spec.id, e->index, e->try_no);
+        w.add(e->machine->id, zone_matters(e) ? e->machine->zone_name : "", e->tenure, e->job->spec.id, e->index,
+              e->try_no);
     return w.take();
 }
 
@@ -296,9 +304,9 @@
     }
     if (too_long_ == static_cast<int>(slot)) too_long_ = -1;
     auto size = text.size();
-    // At most a line of its own: names, a tenure, an index and an attempt.
+    // At most a line of its own.
     auto take = [&](Entry& e) {
-        size += e.machine->id.size() + e.machine->zone_name.size() + e.job->spec.id.size() + 40;
+        size += slot_text({&e}).size() + 2;
         if (size > most_value_) return false;
         leave_slot(e);
         put_in_slot(e, static_cast<int>(slot));
@@ -325,6 +333,7 @@
     d.add(slot_key(slot), codec::Json{{"t", std::move(text)}}, size);
     ring_[slot].stale = 0;
     ring_[slot].size = size;
+    ring_[slot].written = list.size();
     in_flight_.slots.push_back(slot);
     return true;
 }
@@ -342,15 +351,24 @@
         });
         for (std::size_t i = 0; i < unrecorded_.size(); ++i) unrecorded_[i]->at_slot = i;
     }
-    for (std::size_t n = 0; n < first_slots && !d.full(1) && more(); ++n, advance()) {
-        const auto& slot = ring_[next_slot_];
-        if (slot.size <= most_value_ / 2 || slot.stale > slot.entries.size()) {
-            draft_slot(d, next_slot_);
-        } else {
-            // Carrying so much on would leave too little room: the ring grows instead.
-            ring_.emplace_back();
-            draft_slot(d, ring_.size() - 1);
+    while (!d.full(1) && more()) {
+        // The emptiest record takes the most. In turn, each would carry the replicas on, which stay for
+        // good, and half of every write would be what the store holds already.
+        std::size_t best = ring_.size();
+        double least = static_cast<double>(most_value_) * carried_share;
+        for (std::size_t k = 0; k < ring_.size(); ++k) {
+            const auto& slot = ring_[k];
+            const double live = static_cast<double>(slot.size * slot.entries.size()) /
+                                static_cast<double>(std::max<std::size_t>(1, slot.written));
+            if (live >= least ||
+                std::find(in_flight_.slots.begin(), in_flight_.slots.end(), k) != in_flight_.slots.end())
+                continue;
+            least = live;
+            best = k;
+            if (live <= 0) break;
         }
+        if (best == ring_.size()) ring_.emplace_back();
+        if (!draft_slot(d, best)) break;
     }
     // Records that name what is long gone would keep its place after a takeover.
     if (now_ < next_idle_write_ || d.full(most_ops_ / 2) || more()) return;
