Jobs that others wait for keep off spot machines while many are taken

Cause: late manifests waited for one or two tasks of a cleaning job lost with their spot machines (a lease, then the run again: 100 s instead of 40). Ruled out: waiting for room (bersih-data starts within 9 s), the store.

--- a/src/chains.cpp
+++ b/src/chains.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace heronshift {
 namespace {
@@ -49,6 +50,7 @@
         j.unmet.emplace_back(); // never settled
         note(2, fmt::format("job {} waits: its record does not say for which jobs", j.spec.id));
     }
+    note(0, fmt::format("job {} of class {} waits for {}", j.spec.id, j.spec.job_class, fmt::join(j.unmet, " ")));
     raise_needs(j);
     if (doomed)
         finalize(j, Final::cancelled, true);
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -116,10 +116,11 @@
     if (j.spec.spot && !m.spot) cost += 2;
     if (m.spot) {
         // What a loss costs: a lease until it is known, and the run once more. A job that would be
-        // late by that keeps off spot machines on days when many are taken.
+        // late by that keeps off spot machines on days when many are taken; so does one that others
+        // wait for, since each of its tasks may hold them all up.
         const double run = std::max(1.0, j.spec.estimate_s) * bias();
         const double due = due_at(j);
-        const bool tight = due >= 0 && due - now_ < 2 * run + s_.lease_s;
+        const bool tight = j.latest >= 0 || (due >= 0 && due - now_ < 2 * run + s_.lease_s);
         cost += spot_loss_rate() * run * (tight ? tight_loss_s : s_.lease_s);
     }
     const bool lasting = j.spec.shape == Shape::service;
