--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -79,6 +79,7 @@
     };
     void look_up(const std::string& id, std::function<void(Found)> done);
     void store_job(JobSpec spec, HttpRequest&& request, Responder res, bool forwarded, int tries);
+    void refuse_unless_known(const std::string& id, int status, const std::string& why, const Responder& res);
     void accept(JobSpec spec, HttpRequest&& r, Responder res, bool forwarded);
     // A submission that names other jobs, while it is being checked that these were accepted.
     struct Chained {
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -556,14 +556,7 @@
         refusal = impossible(std::get<JobSpec>(parsed));
         if (!refusal.empty()) status = 422;
     }
-    if (status != 0) {
-        look_up(id, [id, res, status, refusal](Found f) {
-            if (!f.known) return res.send(503, not_now, retry_soon_s);
-            if (!f.status.empty()) return res.send(200, codec::job_answer(id, f.status));
-            res.send(status, error_body(refusal));
-        });
-        return;
-    }
+    if (status != 0) return refuse_unless_known(id, status, refusal, res);
     auto spec = std::move(std::get<JobSpec>(parsed));
     if (!spec.needs.empty()) {
         auto c = std::make_shared<Chained>(Chained{std::move(spec), std::move(r), std::move(res), forwarded, now(), 0});
@@ -572,6 +565,15 @@
     accept(std::move(spec), std::move(r), std::move(res), forwarded);
 }
 
+// A known id gets its state, whatever else is wrong.
+void Node::refuse_unless_known(const std::string& id, int status, const std::string& why, const Responder& res) {
+    look_up(id, [id, res, status, why](Found f) {
+        if (!f.known) return res.send(503, not_now, retry_soon_s);
+        if (!f.status.empty()) return res.send(200, codec::job_answer(id, f.status));
+        res.send(status, error_body(why));
+    });
+}
+
 void Node::accept(JobSpec spec, HttpRequest&& r, Responder res, bool forwarded) {
     if (!submit_budget_.take(now())) {
         ++refused_;
@@ -584,11 +586,14 @@
 // That a job was accepted stays true, so it is remembered; that it never was is said only after a
 // fresh read. One need after the other, within the budget for reads.
 void Node::check_needs(const std::shared_ptr<Chained>& c) {
+    auto refuse = [this, c](const std::string& why) {
+        refuse_unless_known(c->spec.id, 422, "waitsOn: " + why, c->res);
+    };
     for (; c->next < c->spec.needs.size(); ++c->next) {
         const auto& id = c->spec.needs[c->next];
         if (accepted_.contains(id)) continue;
         if (const auto shape = valid() && core_ ? core_->shape_of(id) : std::nullopt; shape) {
-            if (*shape == Shape::service) return c->res.send(422, error_body("waitsOn: " + id + " is a service"));
+            if (*shape == Shape::service) return refuse(id + " is a service");
             continue;
         }
         if (!store_budget_.would_take(now(), 2) || lookups_ > most_lookups) {
@@ -598,12 +603,11 @@
             }
             return after(s_.report_s / 60, [this, c] { check_needs(c); });
         }
-        return look_up(id, [this, c, id](Found f) {
+        return look_up(id, [this, c, id, refuse](Found f) {
             if (!f.known) return c->res.send(503, not_now, retry_soon_s);
-            if (f.status.empty()) return c->res.send(422, error_body("waitsOn: " + id + " was never accepted"));
+            if (f.status.empty()) return refuse(id + " was never accepted");
             const auto j = f.job ? codec::stored_job(f.job->value, wall()) : std::nullopt;
-            if (f.service || (j && j->spec.shape == Shape::service))
-                return c->res.send(422, error_body("waitsOn: " + id + " is a service"));
+            if (f.service || (j && j->spec.shape == Shape::service)) return refuse(id + " is a service");
             remember_accepted(id);
             check_needs(c);
         });
