--- a/src/core.cpp
+++ b/src/core.cpp
@@ -198,8 +198,8 @@
     }
     // Nobody has any use for what runs after a cancellation was asked for; the answer still
     // waits for the store.
-    note(0, fmt::format("job {} of {} tasks {} {:.1f} s after it was submitted{}", j.spec.id, j.spec.tasks,
-                        f == Final::done ? "done" : "cancelled", now_ - j.submitted,
+    note(0, fmt::format("job {} of class {}, {} tasks, {} {:.1f} s after it was submitted{}", j.spec.id,
+                        j.spec.job_class, j.spec.tasks, f == Final::done ? "done" : "cancelled", now_ - j.submitted,
                         j.spec.deadline_s >= 0 ? fmt::format(", due after {:.1f} s", j.spec.deadline_s) : ""));
     for (auto* e : j.entries) stop_entry(*e, 0);
     dirty_ = true;
@@ -435,8 +435,8 @@
         ++j.running;
         if (e.running_at < 0) {
             e.running_at = now_;
-            note(0, fmt::format("task {}/{} runs on {}, {:.1f} s after it was placed, {:.1f} s after its job came",
-                                j.spec.id, e.index, e.machine->id, now_ - e.placed_at, now_ - j.submitted));
+            note(0, fmt::format("task {}/{} runs on {}, {:.1f} s after it was placed, {:.1f} s after its job was ready",
+                                j.spec.id, e.index, e.machine->id, now_ - e.placed_at, now_ - j.ready));
         }
         if (j.first_start < 0) j.first_start = now_;
     } else if (was == Phase::running && e.phase != Phase::running && j.running > 0) {
--- a/tests/test_chains.cpp
+++ b/tests/test_chains.cpp
@@ -217,6 +217,38 @@
     EXPECT_TRUE(wrote_ready({JobFound{"wk-000001", Known::done, std::nullopt}}, 0.3));
 }
 
+// What only the holder's memory knows to be done, the next holder may run again.
+TEST(Chains, NothingIsReadyBeforeTheStoreHasTheFinalState) {
+    const auto settings = small_settings();
+    Snapshot s;
+    auto gone = job(1, Shape::array, 1, 1);
+    s.jobs.push_back({"j/wk-000001", codec::to_record({gone, 0, -1, false, {}}), 1, false});
+    s.jobs.push_back({"j/wk-000002", waiting(after(2, {1})), 1, false});
+    s.progress.push_back({"q/0", {{"wk-000001", "0"}}, 1, false}); // all its tasks are done
+    Core core(settings, 2, s, 0, 0);
+    bool final_sent = false, ready_sent = false;
+    auto go = [&](double from, double to, std::vector<Command> q) {
+        for (double now = from; now < to; now += 0.05) {
+            for (const auto& e : core.step(q, now, now))
+                if (const auto* c = std::get_if<Commit>(&e))
+                    for (const auto& w : c->writes) {
+                        final_sent = final_sent || w.key == "f/wk-000001";
+                        ready_sent = ready_sent || (w.key == "j/wk-000002" && w.value->contains("spec"));
+                    }
+            q.clear();
+        }
+    };
+    go(0.1, 2, {TypesKnown{small_types()}}); // the store does not answer
+    EXPECT_TRUE(final_sent);
+    EXPECT_FALSE(ready_sent);
+    final_sent = false;
+    go(2, 2.5, {Committed{TxnOutcome::refused}});
+    EXPECT_TRUE(final_sent); // once more
+    EXPECT_FALSE(ready_sent);
+    go(2.5, 3, {Committed{TxnOutcome::applied}});
+    EXPECT_TRUE(ready_sent);
+}
+
 TEST(Chains, WhatWaitsHoldsNothingOfItsTeam) {
     World w(4);
     w.take_office();
--- a/tests/test_config.cpp
+++ b/tests/test_config.cpp
@@ -81,6 +81,21 @@
     EXPECT_EQ(s.ops.pull_back_cap, OperatorSettings{}.pull_back_cap);
 }
 
+TEST_F(ConfigFile, TheSmallerOfTheStoresLimitsIsInForceFromTheStart) {
+    std::string text = good;
+    text.insert(text.find("[facts.cloud]"), "[facts.state.next]\nwrite_rps = 24.0\nvalue_kb = 2.0\ntxn_ops = 40\n");
+    const auto s = load_settings(write(text));
+    EXPECT_EQ(s.state_write_rps, 24);
+    EXPECT_EQ(s.value_kb, 2);
+    EXPECT_EQ(s.txn_ops, 16);
+    for (const char* wrong : {"write_rps = 0.0", "value_kb = \"2\"", "txn_ops = 3"}) {
+        auto bad = std::string(good);
+        bad.insert(bad.find("[facts.cloud]"), std::string("[facts.state.next]\n") + wrong + "\n");
+        const auto field = "facts.state.next." + std::string(wrong).substr(0, std::string(wrong).find(' '));
+        EXPECT_NE(error_of([&] { load_settings(write(bad)); }).find(field), std::string::npos) << wrong;
+    }
+}
+
 TEST_F(ConfigFile, ErrorsNameFileAndField) {
     const std::tuple<const char*, const char*, const char*> cases[] = {
         {"report_s = 3.0", "report_s = -3.0", "facts.workers.report_s"},
