--- a/src/node.cpp
+++ b/src/node.cpp
@@ -42,7 +42,7 @@
     : s_(std::move(settings)), loop_(loop), store_(loop, 8, 200), follow_(loop, 2, 4), cloud_(loop, 2, 16),
       agents_(loop, 1, 4), peer_client_(loop, 8, 64),
       // What a user's read may take when this node is alone with the store.
-      store_budget_(s_.state_rps / 4, s_.state_rps / 6), submit_budget_(s_.state_write_rps / 3, s_.state_write_rps / 2),
+      store_budget_(s_.state_rps / 4, s_.state_rps / 6), submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
       cloud_budget_(s_.cloud_rps * 0.8, std::max(1.0, s_.cloud_rps)),
       // Short, so that others take over soon: outages of the store are bridged by promises.
       tenancy_(std::min(s_.report_s, s_.lease_s / 5), s_.peers.size(), now()) {}
