--- a/include/heronshift/core.hpp
+++ b/include/heronshift/core.hpp
@@ -122,7 +122,7 @@
 
 // What the store holds at a takeover.
 struct Snapshot {
-    std::vector<codec::Item> jobs, intents, progress, images;
+    std::vector<codec::Item> jobs, intents, progress, images, learned;
     std::vector<codec::Item> earlier; // of the layout before: a record a machine, one a job
 };
 
@@ -343,6 +343,8 @@
     void draft_progress(Draft& d);
     void draft_images(Draft& d);
     void load_images(const codec::Item& i);
+    void draft_learned(Draft& d);
+    void load_learned(const codec::Item& i, double wall);
     void put_in_slot(Entry& e, int slot);
     void leave_slot(Entry& e);
 
@@ -395,6 +397,7 @@
     [[nodiscard]] double array_need() const;
     void offer(const Job& j);
     [[nodiscard]] double offered() const;
+    [[nodiscard]] double average_s() const; // over which work and losses are averaged
     static double price_per_cpu(const MachineType& t, bool spot);
     std::string cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear, Pending& out) const;
     void plan_capacity();
@@ -468,7 +471,7 @@
     std::unordered_map<std::string, std::vector<int>> image_hints_; // of machines not known yet
     std::size_t image_part_ = 0, image_parts_ = 0;
     std::string images_after_;
-    double next_images_ = 0;
+    double next_images_ = 0, next_learned_ = 0;
     // Machines whose records were damaged: until they have reported to us or their leases have
     // surely lapsed, any task read at the takeover may be on them.
     std::set<std::string> unproven_;
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -85,14 +85,18 @@
 // Work that arrays bring, averaged over a while: what is kept for those to come.
 void Core::offer(const Job& j) {
     if (j.spec.shape != Shape::array) return;
-    const double over = offered_leases * s_.lease_s;
+    const double over = average_s();
     offered_ *= std::exp(-(now_ - offered_at_) / over);
     offered_at_ = now_;
     offered_ += work_left(j) / over * std::exp(-std::max(0.0, now_ - j.ready) / over);
 }
 
+double Core::average_s() const {
+    return offered_leases * s_.lease_s;
+}
+
 double Core::offered() const {
-    return offered_ * bias() * std::exp(-(now_ - offered_at_) / (offered_leases * s_.lease_s));
+    return offered_ * bias() * std::exp(-(now_ - offered_at_) / average_s());
 }
 
 double Core::price_per_cpu(const MachineType& t, bool spot) {
@@ -251,6 +255,8 @@
 // What the cluster has beyond its need is emptied, the dearest first: such a machine takes no new
 // work, its arrays end by themselves and its replicas move, a few a round.
 void Core::plan_shrink() {
+    // A new holder first hears what runs where, and what comes.
+    if (term_ > 1 && now_ - started_ < s_.lease_s) return;
     double have = 0, need = 0, largest_gang = 0, gang_machines = 0, ready = 0;
     std::vector<Machine*> list;
     std::unordered_map<const Machine*, double> lasting;
@@ -344,13 +350,13 @@
 }
 
 void Core::note_spot_loss() {
-    const double over = offered_leases * s_.lease_s;
+    const double over = average_s();
     spot_losses_ = spot_losses_ * std::exp(-(now_ - spot_losses_at_) / over) + 1;
     spot_losses_at_ = now_;
 }
 
 double Core::spot_loss_rate() const {
-    const double over = offered_leases * s_.lease_s;
+    const double over = average_s();
     if (spot_machines_ == 0) return 0;
     return spot_losses_ * std::exp(-(now_ - spot_losses_at_) / over) / over / static_cast<double>(spot_machines_);
 }
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -737,12 +737,13 @@
 
 void Core::handle(Listed& c) {
     for (const auto& l : c.machines) {
-        auto* known = find_machine(l.id);
         // The list lags: what was released may still be in it for a while.
         if (released_.contains(l.id)) continue;
         auto& m = learn_machine(l.id, l.addr, l.type, l.zone, l.spot);
         m.listed_at = now_;
-        if (known == nullptr) m.known_since = now_ - l.age_s;
+        // Known from records or a report first, as after a takeover, it is older than that: from a day on
+        // which no machine was emptied for a minute after each change of office, 300 too many kept.
+        m.known_since = std::min(m.known_since, now_ - l.age_s);
         if (l.status == "failed" && !m.releasing) {
             note(1, fmt::format("machine {} has failed", m.id));
             lose_entries(m);
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -179,7 +179,7 @@
     spdlog::info("took office, term {}", term_);
     snapshot_ = {};
     // All at once: only jobs can still change, by other nodes, and those changes are followed.
-    loads_left_ = 7;
+    loads_left_ = 8;
     auto read = [this] {
         if (--loads_left_ > 0) return;
         core_ = std::make_unique<Core>(s_, term_, snapshot_, now(), wall());
@@ -198,6 +198,7 @@
     load("p/", "", &snapshot_.progress, read); // as the versions before wrote it
     load("q/", "", &snapshot_.progress, read);
     load("c/", "", &snapshot_.images, read);
+    load("l/", "", &snapshot_.learned, read);
     load("m/", "", &snapshot_.earlier, read);
     load("d/", "", &snapshot_.earlier, read);
 }
--- a/src/planning.cpp
+++ b/src/planning.cpp
@@ -57,7 +57,8 @@
     }
     for (auto& [z, list] : by_zone)
         std::sort(list.begin(), list.end(), [](const Machine* x, const Machine* y) {
-            return x->up_since != y->up_since ? x->up_since < y->up_since : x->id < y->id;
+            // By age, which the list tells every holder alike; ids are in the order of creation.
+            return x->id.size() != y->id.size() ? x->id.size() < y->id.size() : x->id < y->id;
         });
     for (std::size_t k = 0; k < total; ++k)
         for (auto& [z, list] : by_zone) {
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -23,6 +23,8 @@
     return done ? codec::status_done.data() : codec::status_cancelled.data();
 }
 
+constexpr const char* learned_key = "l/0";
+
 std::string slot_key(std::size_t slot) {
     return fmt::format("i/{}", slot);
 }
@@ -104,6 +106,7 @@
         }
     }
     load_earlier(stored);
+    for (const auto& i : stored.learned) load_learned(i, wall);
     for (auto& [id, j] : jobs_) {
         // What runs or is done does not wait: on a day with many takeovers machines were rented for it.
         std::erase_if(j->pending, [&](std::uint32_t i) {
@@ -471,6 +474,38 @@
     }
 }
 
+// What a holder has learned of this day: how much work comes, how far estimates are off, how many spot
+// machines are lost. Without it the next one gives back machines that it needs a moment later.
+void Core::draft_learned(Draft& d) {
+    if (now_ < next_learned_ || d.full(most_ops_ / 2)) return;
+    next_learned_ = now_ + 2 * s_.report_s;
+    const double over = average_s();
+    d.add(learned_key,
+          codec::Json{{"at", wall_},
+                      {"offered", offered_ * std::exp(-(now_ - offered_at_) / over)},
+                      {"ran", ran_s_},
+                      {"estimated", estimated_s_},
+                      {"spotLosses", spot_losses_ * std::exp(-(now_ - spot_losses_at_) / over)}},
+          120);
+}
+
+void Core::load_learned(const codec::Item& i, double wall) {
+    const auto number = [&](const char* name) {
+        const auto it = i.value.is_object() ? i.value.find(name) : i.value.end();
+        const double v = it != i.value.end() && it->is_number() ? it->get<double>() : -1;
+        return std::isfinite(v) && v >= 0 && v < 1e12 ? v : -1;
+    };
+    const double at = number("at"), offered = number("offered"), ran = number("ran"), estimated = number("estimated"),
+                 losses = number("spotLosses");
+    if (at < 0 || offered < 0 || ran <= 0 || estimated <= 0 || losses < 0) return;
+    const double left = std::exp(-std::max(0.0, wall - at) / average_s());
+    offered_ = std::max(offered_, offered * left); // jobs read from the store are part of it
+    spot_losses_ = losses * left;
+    offered_at_ = spot_losses_at_ = now_;
+    ran_s_ = ran;
+    estimated_s_ = estimated;
+}
+
 // One transaction is in flight at a time; this builds the next of what is due, most urgent first.
 void Core::collect_commit() {
     if (txn_open_ || stepped_down_) return;
@@ -495,6 +530,7 @@
     }
     draft_progress(d);
     draft_images(d);
+    draft_learned(d);
     if (d.commit.writes.empty()) return;
     txn_open_ = true;
     write_tokens_ -= static_cast<double>(d.commit.writes.size()) + 1;
--- a/tests/test_chains.cpp
+++ b/tests/test_chains.cpp
@@ -203,8 +203,11 @@
     const auto settings = small_settings();
     Core core(settings, 2, s, 0, 0);
     std::vector<Command> q{TypesKnown{small_types()}};
-    bool asked = false;
-    for (const auto& e : core.step(q, 0.1, 0.1)) asked = asked || std::holds_alternative<FindJob>(e);
+    bool asked = false, open = false; // a transaction of something else
+    for (const auto& e : core.step(q, 0.1, 0.1)) {
+        asked = asked || std::holds_alternative<FindJob>(e);
+        open = open || std::holds_alternative<Commit>(e);
+    }
     EXPECT_TRUE(asked);
     auto wrote_ready = [&](std::vector<Command> with, double now) {
         bool ready = false;
@@ -214,7 +217,9 @@
         return ready;
     };
     EXPECT_FALSE(wrote_ready({JobFound{"wk-000001", Known::no_answer, std::nullopt}}, 0.2));
-    EXPECT_TRUE(wrote_ready({JobFound{"wk-000001", Known::done, std::nullopt}}, 0.3));
+    std::vector<Command> found{JobFound{"wk-000001", Known::done, std::nullopt}};
+    if (open) found.emplace_back(Committed{});
+    EXPECT_TRUE(wrote_ready(std::move(found), 0.3));
 }
 
 // What only the holder's memory knows to be done, the next holder may run again.
--- a/tests/test_records.cpp
+++ b/tests/test_records.cpp
@@ -199,5 +199,32 @@
     EXPECT_EQ(known, 2000U);
 }
 
+// After each change of office machines were given back that were needed a moment later, or none for a
+// minute: the new holder knew neither their age nor how much work the day brings.
+TEST(Records, WhatAHolderLearnedOfTheDayGoesToTheNext) {
+    const auto settings = small_settings();
+    auto returned = [&](const codec::Json& learned) {
+        Snapshot s;
+        s.learned.push_back({"l/0", learned, 1, false});
+        Core core(settings, 7, s, 0, 100);
+        std::vector<Command> q{TypesKnown{small_types()},
+                               Listed{{{"n-1", "10.1.0.1:9000", "m8", "a", "running", false, 100}}, 0}};
+        std::uint64_t counter = 0;
+        for (double now = 0.05; now < 15; now += 0.5) {
+            q.emplace_back(Beat{beat("n-1", ++counter, std::uint64_t{7} << fence_bits), counter});
+            for (const auto& e : core.step(q, now, 100 + now)) {
+                if (std::holds_alternative<Release>(e)) return now;
+                if (std::holds_alternative<Commit>(e)) q.emplace_back(Committed{});
+            }
+        }
+        return -1.0;
+    };
+    const codec::Json learned{{"at", 99.0}, {"offered", 50.0}, {"ran", 10.0}, {"estimated", 12.0}, {"spotLosses", 0.5}};
+    EXPECT_LT(returned(learned), 0);
+    auto damaged = learned;
+    damaged["offered"] = "much";
+    for (const auto& none : {codec::Json(), codec::Json::array(), damaged}) EXPECT_GT(returned(none), settings.lease_s);
+}
+
 } // namespace
 } // namespace heronshift::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -149,6 +149,7 @@
             if (k.starts_with("i/")) s.intents.push_back(i);
             if (k.starts_with("p/") || k.starts_with("q/")) s.progress.push_back(i);
             if (k.starts_with("c/")) s.images.push_back(i);
+            if (k.starts_with("l/")) s.learned.push_back(i);
             if (k.starts_with("m/") || k.starts_with("d/")) s.earlier.push_back(i);
         }
         c.queue.clear();
