--- a/src/chains.cpp
+++ b/src/chains.cpp
@@ -16,6 +16,7 @@
 
 // From now on it is work like any other: it waits for room, counts to its team and may be rented for.
 void Core::join(Job& j) {
+    j.tasks.resize(j.spec.tasks); // a flood of waiting jobs costs no memory for tasks
     if (j.team >= 0) {
         auto& list = teams_[static_cast<std::size_t>(j.team)].jobs; // in the order they became ready
         const auto at = std::find_if(list.rbegin(), list.rend(), [&](const Job* o) { return o->ready <= j.ready; });
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -139,7 +139,6 @@
     j->submitted = now_ - c.age_s;
     j->ready = now_ - (c.ready_age_s >= 0 ? c.ready_age_s : c.age_s);
     j->rank = j->spec.rank;
-    j->tasks.resize(j->spec.tasks);
     j->zone_live.resize(s_.zones.size() + 1);
     j->bucket = bucket_of(j->spec.id);
     if (j->spec.shape == Shape::service)
