--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -75,6 +75,23 @@
     for (int i = 1; i < 8; ++i) EXPECT_EQ(w.told[fmt::format("wk-{:06}", i)], codec::status_done) << i;
 }
 
+// Restarted elsewhere for ever, the last task of a job never ended, nor did what waited for the job.
+TEST(World, ATaskThatIsLongEverywhereEnds) {
+    World w(5);
+    w.takes = [](std::uint32_t index) { return index == 0 ? 15.0 : 5.0; };
+    w.settings.teams[0].cpus_max = 400;
+    w.capacity = 30;
+    w.take_office();
+    w.submit(job(2, Shape::service, 30, 6)); // that many machines: a few may be slow
+    w.run(40);
+    const int before = w.started;
+    w.submit(job(1, Shape::array, 10, 2));
+    w.run(60);
+    EXPECT_EQ(w.told["wk-000001"], codec::status_done);
+    EXPECT_EQ(w.started, before + 11); // once it was worth a try elsewhere
+    EXPECT_EQ(first(w), "");
+}
+
 // Crashes of the holder, cuts, hangs, lost and late messages, refused transactions.
 class Trouble : public ::testing::TestWithParam<unsigned> {};
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -110,6 +110,7 @@
     std::vector<std::string> broken;
     std::set<std::string> claims;
     std::function<void(const std::vector<codec::Write>&)> on_commit;
+    std::function<double(std::uint32_t)> takes; // how long a task runs, by its index
 
     double chance() {
         return std::uniform_real_distribution<double>(0, 1)(rng);
@@ -276,7 +277,7 @@
                     continue;
                 }
                 t.state = TaskState::running;
-                t.until = now + between(2, 12);
+                t.until = now + (takes ? takes(t.index) : between(2, 12));
                 on_machine(w, t);
             } else if (t.state == TaskState::running && now >= t.until && jobs[t.job].shape != Shape::service) {
                 t.state = TaskState::ended;
