A log of commands and effects, and a replay that names the first difference

Need: Core is to be parted into ledger, policies and records, and behaviour must stay. What goes into a core is recorded line by line with a digest of each effect; 'heronshift replay FILE' runs it through this build. Logs are bounded, compressed with zstd if so named, never written over; a damaged one is refused with file, line and reason.

--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -1,11 +1,13 @@
 // The daemon: reads its settings and runs one controller until it is killed.
 #include "heronshift/config.hpp"
 #include "heronshift/node.hpp"
+#include "heronshift/replay/command_log.hpp"
 #include "heronshift/version.hpp"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <fmt/format.h>
 #include <iostream>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -27,10 +29,11 @@
     return s;
 }
 
-int run(heronshift::Settings s) {
+int run(heronshift::Settings s, std::unique_ptr<heronshift::replay::CommandLog> log) {
     std::signal(SIGPIPE, SIG_IGN);
     auto* loop = uv_default_loop();
     heronshift::Node node(loop, std::move(s));
+    if (log) node.record(std::move(log));
     if (const int e = node.start(); e != 0) {
         spdlog::error("cannot listen: {}", uv_strerror(e));
         return 1;
@@ -54,6 +57,24 @@
     return 0;
 }
 
+// 0: this build decides the same; 1: it does not, and where; 2: the log cannot be read.
+int replay(const std::string& file, bool allow_cut) {
+    try {
+        const auto r = heronshift::replay::replay(file, allow_cut);
+        if (r.first) {
+            std::cout << fmt::format("{}:{}: term {}, at {:.3f} s: {}\n  here: {}\n", file, r.first->line,
+                                     r.first->term, r.first->now, r.first->what, r.first->got);
+            return 1;
+        }
+        std::cout << fmt::format("the same: {} terms, {} batches, {} commands, {} effects{}\n", r.terms, r.batches,
+                                 r.commands, r.effects, r.cut ? "; the log is cut off after these" : "");
+        return 0;
+    } catch (const heronshift::replay::LogError& e) {
+        std::cerr << "heronshift: " << e.what() << "\n";
+        return 2;
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -64,7 +85,19 @@
     app.add_option("--operators", operators, "the operators' own settings (S-expressions), optional");
     auto* check = app.add_subcommand("check", "validate the settings and print what is in force");
     check->fallthrough();
+    std::string command_log, replay_file;
+    double command_log_mb = 1024;
+    bool allow_cut = false;
+    app.add_option("--command-log", command_log,
+                   "record what goes into the core and a digest of what comes out; .zst: compressed; -: stderr");
+    app.add_option("--command-log-mb", command_log_mb, "the record's bound, before compression")
+        ->check(CLI::Range(1.0, 1e6))
+        ->capture_default_str();
+    auto* replay_verb = app.add_subcommand("replay", "run a command log again and name the first difference");
+    replay_verb->add_option("FILE", replay_file, "a command log")->required();
+    replay_verb->add_flag("--allow-cut", allow_cut, "accept a log whose writer was killed");
     CLI11_PARSE(app, argc, argv);
+    if (replay_verb->parsed()) return replay(replay_file, allow_cut);
     if (config.empty()) {
         std::cerr << "heronshift: --config is required\n";
         return 2;
@@ -76,7 +109,14 @@
             std::cout << heronshift::describe(s);
             return 0;
         }
-        return run(std::move(s));
+        std::unique_ptr<heronshift::replay::CommandLog> log;
+        if (!command_log.empty())
+            log = std::make_unique<heronshift::replay::CommandLog>(command_log,
+                                                                   static_cast<std::uint64_t>(command_log_mb * 1e6));
+        return run(std::move(s), std::move(log));
+    } catch (const heronshift::replay::LogError& e) {
+        std::cerr << "heronshift: --command-log: " << e.what() << "\n";
+        return 2;
     } catch (const heronshift::SettingsError& e) {
         std::cerr << "heronshift: " << e.what() << "\n";
         return 2;
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -3,6 +3,7 @@
 
 #include "heronshift/core.hpp"
 #include "heronshift/http.hpp"
+#include "heronshift/replay/command_log.hpp"
 #include "heronshift/tenancy.hpp"
 
 #include <map>
@@ -32,6 +33,10 @@
     Node(const Node&) = delete;
     Node& operator=(const Node&) = delete;
 
+    // Records what goes into the core from its next term on, see replay/command_log.hpp.
+    void record(std::unique_ptr<replay::CommandLog> log) {
+        log_ = std::move(log);
+    }
     int start(); // 0 or a libuv error
     void stop();
 
@@ -133,6 +138,7 @@
     std::unique_ptr<Core> core_;
     std::vector<Command> queue_;
     bool running_core_ = false;
+    std::unique_ptr<replay::CommandLog> log_;
 
     std::vector<MachineType> types_;
     bool learning_types_ = false;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -168,7 +168,17 @@
     std::vector<Command> batch;
     batch.swap(queue_);
     const auto commands = batch.size();
-    auto effects = core_->step(batch, t, wall(), valid());
+    const double wall_now = wall();
+    const bool entitled = valid();
+    if (log_) log_->commands(batch, t, wall_now, entitled);
+    auto effects = core_->step(batch, t, wall_now, entitled);
+    if (log_) {
+        log_->effects(effects);
+        if (!log_->open()) {
+            spdlog::warn("the command log ends here: {}", log_->why());
+            log_.reset();
+        }
+    }
     if (const double took = now() - t; took > s_.report_s / 100)
         spdlog::debug("a step took {:.0f} ms for {} commands and {} effects", took * 1000, commands, effects.size());
     queue_.insert(queue_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -182,7 +182,9 @@
     loads_left_ = 8;
     auto read = [this] {
         if (--loads_left_ > 0) return;
-        core_ = std::make_unique<Core>(s_, term_, snapshot_, now(), wall());
+        const double at = now(), wall_at = wall();
+        if (log_) log_->begin(s_, term_, snapshot_, at, wall_at);
+        core_ = std::make_unique<Core>(s_, term_, snapshot_, at, wall_at);
         spdlog::info("term {}: {} jobs and {} records read", term_, snapshot_.jobs.size(),
                      snapshot_.intents.size() + snapshot_.progress.size() + snapshot_.earlier.size());
         snapshot_ = {};
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "heronshift/core.hpp"
+#include "heronshift/replay/command_log.hpp"
 #include "heronshift/tenancy.hpp"
 
 #include <algorithm>
@@ -110,6 +111,7 @@
     std::vector<std::string> broken;
     std::set<std::string> claims;
     std::function<void(const std::vector<codec::Write>&)> on_commit;
+    replay::CommandLog* log = nullptr;         // of the one controller, if it is to be recorded
     std::function<double(std::uint32_t)> takes; // how long a task runs, by its index
 
     double chance() {
@@ -154,6 +156,7 @@
             if (k.starts_with("m/") || k.starts_with("d/")) s.earlier.push_back(i);
         }
         c.queue.clear();
+        if (log != nullptr) log->begin(settings, c.term, s, now * c.rate, now);
         c.core = std::make_unique<Core>(c.old ? old_settings : settings, c.term, s, now * c.rate, now);
         c.queue.push_back(TypesKnown{small_types()});
         c.queue.push_back(list());
@@ -567,7 +570,10 @@
             const bool may = entitled(c);
             holders += may;
             carried += may && several() && store_down;
-            for (const auto& e : c.core->step(c.queue, now * c.rate, now, may))
+            if (log != nullptr) log->commands(c.queue, now * c.rate, now, may);
+            const auto effects = c.core->step(c.queue, now * c.rate, now, may);
+            if (log != nullptr) log->effects(effects);
+            for (const auto& e : effects)
                 if (c.core) perform(c, e);
             if (!c.core || !may) continue;
             for (const auto& [id, spec] : jobs)
