--- a/include/heronshift/replay/command_log.hpp
+++ b/include/heronshift/replay/command_log.hpp
@@ -27,7 +27,7 @@
 // size, ends the log, and why() says so.
 class CommandLog {
 public:
-    // Throws LogError if the file cannot be created. "-" is standard error, "@ " before each line.
+    // Throws LogError if the file cannot be created. "-" is standard error, in parts, see part_bytes.
     CommandLog(const std::string& path, std::uint64_t most_bytes);
     ~CommandLog();
     CommandLog(const CommandLog&) = delete;
--- a/src/replay/command_log.cpp
+++ b/src/replay/command_log.cpp
@@ -77,7 +77,9 @@
 namespace {
 
 using Json = nlohmann::json;
-constexpr const char* stderr_prefix = "@ ";
+// On standard error, which collectors of logs cut into lines of a few KiB: "@+ " before a part that goes
+// on, "@ " before the last one.
+constexpr std::size_t part_bytes = 4000;
 constexpr std::uint64_t flush_bytes = 64 * 1024; // before compression: the most that a kill loses
 
 std::string dump(const Json& j) {
@@ -168,8 +170,14 @@
 
 void CommandLog::line(const std::string& text) {
     if (!out_) return;
-    std::string whole = out_->owned ? text : stderr_prefix + text;
-    whole += '\n';
+    std::string whole;
+    if (!out_->owned) {
+        std::size_t at = 0;
+        for (; text.size() - at > part_bytes; at += part_bytes) whole += "@+ " + text.substr(at, part_bytes) + '\n';
+        whole += "@ " + text.substr(at) + '\n';
+    } else {
+        whole = text + '\n';
+    }
     if (whole.size() > left_) {
         why_ = "its bound is reached";
         out_.reset();
