--- a/include/heronshift/replay/command_log.hpp
+++ b/include/heronshift/replay/command_log.hpp
@@ -27,7 +27,8 @@
 // size, ends the log, and why() says so.
 class CommandLog {
 public:
-    // Throws LogError if the file cannot be created. "-" is standard error, in parts, see part_bytes.
+    // Throws LogError if the file cannot be created. "-" is standard error, in parts (see
+    // part_bytes) and without a bound.
     CommandLog(const std::string& path, std::uint64_t most_bytes);
     ~CommandLog();
     CommandLog(const CommandLog&) = delete;
--- a/src/replay/command_log.cpp
+++ b/src/replay/command_log.cpp
@@ -170,14 +170,14 @@
 
 void CommandLog::line(const std::string& text) {
     if (!out_) return;
-    std::string whole;
-    if (!out_->owned) {
+    if (!out_->owned) { // each part in a write of its own
         std::size_t at = 0;
-        for (; text.size() - at > part_bytes; at += part_bytes) whole += "@+ " + text.substr(at, part_bytes) + '\n';
-        whole += "@ " + text.substr(at) + '\n';
-    } else {
-        whole = text + '\n';
+        for (; text.size() - at > part_bytes; at += part_bytes)
+            out_->write("@+ " + text.substr(at, part_bytes) + '\n', ZSTD_e_continue);
+        out_->write("@ " + text.substr(at) + '\n', ZSTD_e_continue);
+        return;
     }
+    const auto whole = text + '\n';
     if (whole.size() > left_) {
         why_ = "its bound is reached";
         out_.reset();
