--- /dev/null
+++ b/include/heronshift/core/core.hpp
@@ -0,0 +1,71 @@
+// One holder's term: commands in, effects out. step(commands, now) -> effects is the only way in; no
+// I/O, clock or randomness of its own, so that whatever happened can be run again (replay/).
+//
+// Owns the ledger (state and rules), the policies (which read a const view and propose) and the
+// records (what the store holds); decides only in which order they have their turn.
+#pragma once
+
+#include "heronshift/ledger/ledger.hpp"
+#include "heronshift/messages.hpp"
+#include "heronshift/policies/capacity.hpp"
+#include "heronshift/policies/placement.hpp"
+#include "heronshift/policies/rounds.hpp"
+#include "heronshift/records/records.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace heronshift {
+
+using ledger::fence_bits;
+using ledger::JobView;
+using ledger::try_bits;
+
+class Core {
+public:
+    Core(const Settings& settings, std::uint64_t term, const Snapshot& stored, double now, double wall);
+    Core(const Core&) = delete;
+    Core& operator=(const Core&) = delete;
+
+    // entitled: this node may act as holder at this moment. While it may not, it refuses its workers
+    // and leaves all else among the commands until it may again.
+    std::vector<Effect> step(std::vector<Command>& commands, double now, double wall, bool entitled = true);
+    // When step() wants to be called even if no command comes.
+    [[nodiscard]] double wake_at() const {
+        return wake_at_;
+    }
+
+    // None: not known here, ask the store. An answer is never older than what was told before.
+    [[nodiscard]] std::optional<JobView> view(const std::string& id) const {
+        return ledger_.job(id);
+    }
+    [[nodiscard]] std::string metrics() const;
+
+    // The shape of a job that is alive here, which proves that it was accepted.
+    [[nodiscard]] std::optional<Shape> shape_of(const std::string& id) const;
+
+    // For tests: what is believed to be on machines.
+    [[nodiscard]] std::size_t live_tasks(const std::string& job) const;
+    [[nodiscard]] std::size_t machines_up() const;
+    [[nodiscard]] std::size_t machine_count() const {
+        return ledger_.view().machines.size();
+    }
+    [[nodiscard]] const ledger::State& state() const {
+        return ledger_.view();
+    }
+
+private:
+    void take(Command& c);
+
+    const Settings& s_;
+    std::vector<Effect> effects_;
+    ledger::Ledger ledger_;
+    Records records_;
+    policies::Placement placement_;
+    policies::Rounds rounds_;
+    policies::Capacity capacity_;
+    double wake_at_ = 0, next_tick_ = 0, next_round_ = 0, next_rent_ = 0, next_schedule_ = 0;
+};
+
+} // namespace heronshift
--- /dev/null
+++ b/include/heronshift/ledger/ledger.hpp
@@ -0,0 +1,205 @@
+// The one place that changes the state of the cluster. It takes what the world says (reports,
+// answers, the list) and what policies propose, checks every rule of the protocol that a placement
+// could break, and says what follows. No I/O, clock or randomness.
+//
+// Owns: State; which machines want orders; what was released; who needs whom. Does not know what the
+// store holds: Bookkeeping (records/) is told of what has to go there.
+#pragma once
+
+#include "heronshift/ledger/proposals.hpp"
+#include "heronshift/ledger/state.hpp"
+
+#include <optional>
+
+namespace heronshift {
+class Records;
+}
+
+namespace heronshift::ledger {
+
+struct JobView {
+    std::string_view status;
+    std::uint64_t done = 0, running = 0;
+};
+
+// Told by the ledger of what has to be stored.
+class Bookkeeping {
+public:
+    virtual ~Bookkeeping() = default;
+    virtual void added(Job& j) = 0;
+    virtual void added(Entry& e) = 0;
+    virtual void removed(Entry& e) = 0;
+    enum class Urgency : std::uint8_t { cancelled, done, taken_along };
+    virtual void final_due(Job& j, Urgency u) = 0; // its final state, or that nothing is left of it
+    virtual void progressed(Job& j) = 0;
+    virtual void became_ready(Job& j) = 0;
+};
+
+class Ledger final : public Proposals {
+public:
+    Ledger(const Settings& settings, std::uint64_t term, double now, double wall, std::vector<Effect>& out);
+    void keep(Bookkeeping& b) {
+        books_ = &b;
+    }
+    [[nodiscard]] const State& view() const {
+        return st_;
+    }
+    void set_time(double now, double wall) {
+        st_.now = now, st_.wall = wall;
+    }
+
+    // What the world says.
+    void add_job(JobStored& c);
+    void cancel(const CancelAsked& c);
+    void found(JobFound& c);
+    void heard(const Beat& c);
+    void answered(const OrdersAnswered& c);
+    void rented(const Rented& c);
+    void released(const Released& c);
+    void listed(const Listed& c);
+    void types_known(std::vector<MachineType>&& types);
+    void lapse_machines();
+
+    // What policies propose, see proposals.hpp.
+    bool place(const Job& j, const Machine& m) override;
+    void drop_settled(const Job& j, bool all) override;
+    void stop(const Entry& e, double drain_s) override;
+    void preempt(const Entry& e) override;
+    void move_away(const Entry& e, double drain_s) override;
+    void gang_whole(const Job& j) override;
+    void reserve(const Machine& m, const Job& j, int tasks, double until) override;
+    void room_asked(const Job& j, double until) override;
+    void good_room(const Job& j, bool being_made) override;
+    void set_pool(const std::vector<const Machine*>& pool, const Resources& service_shape) override;
+    void set_common_shape(const Resources& r) override;
+    void mark_guarantees() override;
+    void blame(const Entry& e) override;
+    void slow(const Machine& m, double until) override;
+    void retire(const Machine& m, bool leave) override;
+    void rent(const Pending& p) override;
+    void count_spot(std::size_t machines) override {
+        st_.spot_machines = machines;
+    }
+    void ask(const Machine& m) override;
+    void presume_dead(const Machine& m) override;
+    void give_back(const Machine& m) override;
+    void release(std::vector<std::string> machines) override;
+    void touch() override {
+        dirty_ = true;
+    }
+    void note(int level, std::string text) override {
+        out_.emplace_back(Note{level, std::move(text)});
+    }
+    void next_pass() { // of placement: attempts of different passes differ
+        ++try_seq_;
+    }
+
+    // What is due: orders to machines, questions, reads of the store.
+    void send_due_orders();
+    void find_needs();
+
+    // From the bookkeeping: the store holds it.
+    void need_settled(const std::string& id, Final f);
+    void finalize(Job& j, Final f, bool taken_along = false);
+    void remember_final(const Job& j);
+    void forget_job(Job& j);
+
+    // None: not known here. An answer is never older than what was told before.
+    [[nodiscard]] std::optional<JobView> job(const std::string& id) const;
+    [[nodiscard]] bool stepped_down() const {
+        return stepped_down_;
+    }
+    void step_down() {
+        stepped_down_ = true;
+    }
+    bool take_dirty() { // something changed that placement may want to see
+        const bool d = dirty_;
+        dirty_ = false;
+        return d;
+    }
+    [[nodiscard]] bool dirty() const {
+        return dirty_;
+    }
+    [[nodiscard]] double lease_surely_s() const; // when a worker's lease has run out for sure
+    struct Counters {
+        std::uint64_t launched = 0, lost = 0, preempted = 0, moved = 0;
+    };
+    [[nodiscard]] const Counters& counters() const {
+        return counters_;
+    }
+
+private:
+    friend class heronshift::Records; // what a takeover reads is entered as it stands
+
+    // What a policy was given const is ours to write.
+    static Job& own(const Job& j) {
+        return const_cast<Job&>(j); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+    }
+    static Machine& own(const Machine& m) {
+        return const_cast<Machine&>(m); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+    }
+    static Entry& own(const Entry& e) {
+        return const_cast<Entry&>(e); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+    }
+
+    // ledger.cpp
+    Job* find_job(const std::string& id);
+    Machine* find_machine(const std::string& id);
+    Machine& learn_machine(const std::string& id, const std::string& addr, const std::string& type,
+                           const std::string& zone, bool spot);
+    void bind_type(Machine& m);
+    bool apply_report(Machine& m, const Report& r, std::vector<Order>& reaps);
+    void update_entry(Entry& e, const ReportedTask& t);
+    void task_exited(Entry& e, const ReportedTask& t);
+    void note_run(Job& j, const Machine& m, double ran);
+    void mark_done(Job& j, std::uint32_t index);
+    bool may_reap(const ReportedTask& t);
+    Entry& add_entry(Machine& m, Job& j, std::uint32_t index, std::uint64_t try_no);
+    void remove_entry(Entry& e);
+    static Entry* find_entry(Machine& m, const ReportedTask& t);
+    void lose_entries(Machine& m);
+    int image_id(const std::string& name, double gb);
+    static CachedImage* cached(Machine& m, int image);
+    void use_image(Machine& m, int image, bool ready);
+    void want_orders(Machine& m);
+    void forget_machine(const std::string& id);
+    void queue_task(Job& j, std::uint32_t index, bool front);
+    void break_gang(Job& j);
+    void stop_entry(Entry& e, double drain_s);
+    void dispatch(Machine& m);
+    void ask_machines();
+    std::vector<Order> standing_orders(Machine& m);
+    void note_spot_loss();
+    void offer(const Job& j);
+
+    // needs.cpp: jobs that wait for others
+    void join(Job& j);
+    void wait_for_needs(Job& j);
+    void become_ready(Job& j);
+    void raise_needs(Job& from);
+    void look_for(const std::string& id, double at);
+    void forget_needs(Job& j);
+
+    State st_;
+    std::vector<Effect>& out_;
+    Bookkeeping* books_ = nullptr;
+    bool dirty_ = true, stepped_down_ = false;
+    std::uint64_t try_seq_ = 0, batch_seq_ = 0, claim_seq_ = 0, report_seq_ = 0;
+    Counters counters_;
+    // Who needs a job that is not done, by name: either may be known here before the other.
+    std::unordered_map<std::string, std::set<std::string>> needed_by_;
+    std::multimap<double, std::string> to_find_; // needed and not known here, by when to ask
+    std::size_t finding_ = 0;
+    // Final states are immutable, so old ones may be answered from here. It holds more jobs than
+    // a watch can lag behind, so a late event never brings a finished job back.
+    std::unordered_map<std::string, Final> recent_;
+    std::deque<std::string> recent_order_;
+    std::map<std::string, double> released_; // surely gone, whatever a late list or report says
+    std::vector<Machine*> to_dispatch_;
+    std::deque<std::string> to_ask_; // machines asked for a report
+    std::size_t asking_ = 0;
+    std::unordered_map<std::string, int> image_ids_;
+    std::unordered_map<std::string, std::vector<int>> image_hints_; // of machines not known yet
+};
+
+} // namespace heronshift::ledger
--- /dev/null
+++ b/include/heronshift/ledger/proposals.hpp
@@ -0,0 +1,43 @@
+// What policies may propose. Whoever takes a proposal checks it: the ledger on the one state that
+// counts, and nothing depends on a policy being right.
+#pragma once
+
+#include "heronshift/ledger/state.hpp"
+
+namespace heronshift::ledger {
+
+class Proposals {
+public:
+    virtual ~Proposals() = default;
+    // One more task of the job there, at once, so that the view shows it to the next decision. False:
+    // a rule forbids it (said in the log), or no task waits.
+    virtual bool place(const Job& j, const Machine& m) = 0;
+    virtual void drop_settled(const Job& j, bool all) = 0; // from those that wait: done or placed meanwhile
+    // With so many seconds to save.
+    virtual void stop(const Entry& e, double drain_s) = 0;
+    virtual void preempt(const Entry& e) = 0;
+    virtual void move_away(const Entry& e, double drain_s) = 0;
+    // Room on a machine is kept for a job, or was looked for, until then.
+    virtual void reserve(const Machine& m, const Job& j, int tasks, double until) = 0;
+    virtual void room_asked(const Job& j, double until) = 0;
+    virtual void good_room(const Job& j, bool being_made) = 0;
+    virtual void gang_whole(const Job& j) = 0;
+    virtual void mark_guarantees() = 0;
+    virtual void set_pool(const std::vector<const Machine*>& pool, const Resources& service_shape) = 0;
+    virtual void set_common_shape(const Resources& r) = 0;
+    // A task is too long on its machine; the machine is slow until then.
+    virtual void blame(const Entry& e) = 0;
+    virtual void slow(const Machine& m, double until) = 0;
+    // Machines: to become empty or not after all, asked for a word, taken for dead, given back.
+    virtual void retire(const Machine& m, bool leave) = 0;
+    virtual void rent(const Pending& p) = 0;
+    virtual void count_spot(std::size_t machines) = 0;
+    virtual void ask(const Machine& m) = 0;
+    virtual void presume_dead(const Machine& m) = 0;
+    virtual void give_back(const Machine& m) = 0;
+    virtual void release(std::vector<std::string> machines) = 0;
+    virtual void touch() = 0; // more could be placed in the next pass
+    virtual void note(int level, std::string text) = 0;
+};
+
+} // namespace heronshift::ledger
--- /dev/null
+++ b/include/heronshift/ledger/state.hpp
@@ -0,0 +1,209 @@
+// The state of the cluster as the holder of the office sees it: jobs, tasks, machines, teams. Plain
+// data. Policies get it const, and const reaches through every pointer in it; only the Ledger
+// changes it. Times are seconds of the steady clock unless they are called wall.
+#pragma once
+
+#include "heronshift/config.hpp"
+#include "heronshift/messages.hpp"
+#include "heronshift/types.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <experimental/propagate_const>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace heronshift::ledger {
+
+// A pointer that is as const as what holds it, so that a const view cannot be written through.
+template <class T> using Deep = std::experimental::propagate_const<T>;
+
+inline constexpr int fence_bits = 24; // fence = term << fence_bits | raises within the term
+inline constexpr int try_bits = 32;   // attempt = term << try_bits | passes within the term
+
+enum class Phase : std::uint8_t { intent, storing, stored, sent, fetching, waiting, running, saving };
+enum class Final : std::uint8_t { none, done, cancelled };
+enum class Status : std::uint8_t { booting, up, lost };
+
+struct Job;
+struct Machine;
+
+struct Task {
+    bool done = false, stored = false, queued = false;
+    std::uint8_t live = 0, failures = 0;
+    std::uint8_t blamed = 0; // times a machine was taken for slow by this task
+    float saved_s = 0;       // progress known to be saved, estimated
+};
+
+struct Entry { // one task on one machine, as far as anyone can tell
+    Deep<Machine*> machine = nullptr;
+    Deep<Job*> job = nullptr;
+    std::uint32_t index = 0;
+    std::uint64_t try_no = 0, tenure = 0, fence = 0;
+    Phase phase = Phase::intent;
+    bool recorded = false; // its record is in the store
+    bool seen = false;     // in a report of this machine
+    bool stop = false;     // must end
+    bool moving = false;   // stopped to be started elsewhere
+    double drain_s = 0, stop_at = -1, placed_at = 0, running_at = -1;
+    std::uint64_t listed = 0;                            // the last report that listed it
+    int slot = -1;                                       // of the ring; -1: not in a record yet
+    int carried_from = -1;                               // the record that still names it while it moves to another
+    std::size_t at_machine = 0, at_job = 0, at_slot = 0; // its places in those lists
+};
+
+struct Job {
+    JobSpec spec;
+    int team = -1, image = -1;
+    std::size_t bucket = 0;                    // of the progress records
+    double submitted = 0, start_within_s = -1; // the aim of its class, below zero: none
+    double ready = 0;                          // since when: all but the deadline counts from there
+    bool waits = false;                        // for jobs it needs; nothing of it may start
+    bool dated = true;                         // its record no longer says that it waits
+    std::vector<std::string> unmet;            // needed, and not known to be done in the store
+    Rank rank = Rank::normal;                  // the most urgent of its own and those that need it
+    double latest = -1;                        // when those that need it want it done; below zero: never
+    std::vector<Task> tasks;
+    std::deque<std::uint32_t> pending;
+    std::vector<Deep<Entry*>> entries;
+    std::uint32_t done = 0, live = 0, running = 0;
+    Final final = Final::none;
+    bool final_stored = false, final_queued = false, guaranteed = false;
+    std::vector<std::uint32_t> unstored; // done, not yet in the store
+    std::vector<std::uint32_t> zone_live;
+    std::uint32_t on_pool = 0;
+    std::uint64_t gang_try = 0;
+    bool gang_breaking = false;
+    double not_before = 0;
+    int error_streak = 0;
+    std::set<std::string> error_machines;
+    bool had_success = false;
+    std::uint32_t runs = 0; // tasks that ran to their end, and the longest of them
+    double longest_run = 0;
+    std::vector<std::uint64_t> cancels;
+    double first_start = -1, room_until = -1;
+    bool good_room = false; // being made for its replicas
+};
+
+struct CachedImage {
+    int image = -1;
+    bool ready = false; // else being fetched
+    double used = 0;
+};
+
+struct Machine {
+    std::string id, addr;
+    int type = -1, zone = -1;
+    std::string type_name, zone_name;
+    bool spot = false;
+    Status status = Status::booting;
+    std::uint64_t tenure = 0, counter = 0, fence = 0;
+    double last_seen = -1; // the last report answered: its lease counts from there
+    double heard = -1;     // the last sign of life
+    double known_since = 0, up_since = -1;
+    std::vector<Deep<std::unique_ptr<Entry>>> entries;
+    Resources used, whole;
+    Resources firm;             // used by what nothing takes the place of
+    bool retiring = false;      // to become empty and go back
+    bool presumed_dead = false; // a spot machine gone silent: given back, so that it is surely gone
+    double asked_at = -1;
+    bool pool = false, draining = false, bad = false, releasing = false, release_asked = false;
+    double release_retry = 0;
+    double notice_until = -1;
+    double empty_since = -1, avoid_until = 0, listed_at = -1;
+    std::vector<CachedImage> images; // cached as far as known
+    std::set<std::string> failed_jobs;
+    std::uint64_t batch = 0; // in flight, 0: none
+    bool asked = false;      // it is a question, without orders
+    bool wants_orders = false;
+    const void* reserved_for = nullptr; // room is being made for this job; only compared
+    Rank reserved_rank = Rank::low;
+    double reserved_until = -1;
+    int reserved_tasks = 0;
+    double slow_until = -1; // its tasks take far longer than their siblings elsewhere
+    int slow_seen = 0;
+
+    [[nodiscard]] bool has_image(int image) const {
+        return std::any_of(images.begin(), images.end(),
+                           [&](const CachedImage& c) { return c.image == image && c.ready; });
+    }
+};
+
+struct Team {
+    TeamLimits limits;
+    Resources used;
+    std::vector<Deep<Job*>> jobs;
+};
+
+struct Pending { // rentals asked for, not answered
+    std::string type, zone;
+    bool spot = false;
+    int count = 0;
+    double asked = 0;
+    bool in_flight = true;
+};
+
+// What the day has taught; goes from holder to holder through the store.
+struct Learned {
+    double offered = 0, offered_at = 0;         // work that arrays bring, in CPUs, averaged
+    double spot_losses = 0, spot_losses_at = 0; // of machines, averaged
+    double ran_s = 1, estimated_s = 1;          // of tasks done lately
+    [[nodiscard]] double bias() const {
+        return std::clamp(ran_s / estimated_s, 0.3, 3.0);
+    }
+};
+
+struct State {
+    explicit State(const Settings& s) : settings(s) {}
+    const Settings& settings;
+    std::uint64_t term = 0;
+    double now = 0, wall = 0, started = 0;
+    std::vector<MachineType> types;
+    std::vector<Team> teams;
+    std::unordered_map<std::string, Deep<std::unique_ptr<Job>>> jobs;
+    std::map<std::string, Deep<std::unique_ptr<Machine>>> machines;
+    std::vector<double> image_gb; // by image
+    std::map<std::string, Pending> rentals;
+    std::map<std::string, double> no_capacity; // "type/zone/kind" -> not before
+    Resources common_shape, service_shape;     // of what waits most; the largest replica
+    Learned learned;
+    std::size_t spot_machines = 0; // up, when last counted
+    bool asked_all = false;        // the list has told once which machines there are
+    // Machines whose records were damaged: until they have reported to us or their leases have
+    // surely lapsed, any task read at the takeover may be on them.
+    std::set<std::string> unproven_machines;
+    double unproven_until = 0;
+
+    [[nodiscard]] const Job* find_job(const std::string& id) const {
+        const auto it = jobs.find(id);
+        return it == jobs.end() ? nullptr : it->second.get();
+    }
+    [[nodiscard]] const MachineType* type_of(const std::string& name) const {
+        for (const auto& t : types)
+            if (t.name == name) return &t;
+        return nullptr;
+    }
+    [[nodiscard]] bool unproven() const {
+        return !unproven_machines.empty() && now < unproven_until;
+    }
+    // Over which work and losses are averaged.
+    [[nodiscard]] double average_s() const;
+    // CPU seconds that the tasks not done yet take by their owner's estimate.
+    [[nodiscard]] double work_left(const Job& j) const;
+    // When a job should be complete, by its owner's deadline, by those that need it or by the aim of
+    // its class; below zero: none.
+    [[nodiscard]] double due_at(const Job& j) const;
+    // How many more tasks the team's limit allows.
+    [[nodiscard]] int quota_room(const Job& j) const;
+    // The rules of where a task of this job may run, given all that may be on machines now: nothing
+    // before its needs are done, type, zone, kind, room, quota. Empty: it may. Every placement passes.
+    [[nodiscard]] const char* refusal(const Job& j, const Machine& m) const;
+    // The part of it that is about the place: type, zone and kind.
+    [[nodiscard]] bool allowed_there(const Job& j, const Machine& m) const;
+};
+
+} // namespace heronshift::ledger
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -1,7 +1,7 @@
 // One controller: the loop, its servers and clients, and the queue of commands for the core.
 #pragma once
 
-#include "heronshift/core.hpp"
+#include "heronshift/core/core.hpp"
 #include "heronshift/http.hpp"
 #include "heronshift/replay/command_log.hpp"
 #include "heronshift/tenancy.hpp"
--- /dev/null
+++ b/include/heronshift/policies/common.hpp
@@ -0,0 +1,36 @@
+// What the policies share: which machine may serve which job, and what a place costs. Functions of
+// a const view.
+#pragma once
+
+#include "heronshift/ledger/state.hpp"
+
+namespace heronshift::policies {
+
+using ledger::Entry;
+using ledger::Final;
+using ledger::Job;
+using ledger::Machine;
+using ledger::Pending;
+using ledger::Phase;
+using ledger::State;
+using ledger::Status;
+
+// May a task of the job be placed there now? Besides the rules, what makes it unwise: silence, a
+// machine on its way out, slow or kept for others. Room is not looked at.
+bool usable(const State& v, const Machine& m, const Job& j, bool also_retiring = false);
+// In seconds of delay or their like; fragmentation (below 1) is the tie-break on top.
+double placement_cost(const State& v, const Machine& m, const Job& j);
+// What counts as capacity: a machine that is up, heard of and not on its way out.
+bool serves(const State& v, const Machine& m);
+double spot_loss_rate(const State& v); // of one machine, a second
+// What waits for room, most urgent first. shape: of what waits most, unchanged if nothing does.
+std::vector<const Job*> waiting_jobs(const State& v, Resources& shape);
+
+inline std::uint32_t half_up(std::uint32_t n) {
+    return (n + 1) / 2;
+}
+template <class V> bool allows(const std::vector<std::string>& list, const V& name) {
+    return list.empty() || std::find(list.begin(), list.end(), name) != list.end();
+}
+
+} // namespace heronshift::policies
--- /dev/null
+++ b/include/heronshift/policies/placement.hpp
@@ -0,0 +1,42 @@
+// Placement: which waiting task goes where, and what is stopped to make room. Owns nothing but when
+// it last looked for slow machines; reads a const view and proposes.
+#pragma once
+
+#include "heronshift/ledger/proposals.hpp"
+#include "heronshift/policies/common.hpp"
+
+namespace heronshift::policies {
+
+class Placement {
+public:
+    Placement(const State& view, ledger::Proposals& out) : v_(view), s_(view.settings), out_(out) {}
+    void schedule();
+    void drain_noticed(); // work on machines that are taken back
+    void find_slow();
+
+private:
+    struct Room {
+        const Machine* machine = nullptr;
+        std::vector<const Entry*> victims;
+        int tasks = 0;
+        bool ready = false; // there already
+        double cost = 0;
+    };
+    void choose_pool();
+    int place_single(const Job& j, double cap);
+    int place_service(const Job& j);
+    bool place_gang(const Job& j);
+    int place_batch(const std::vector<const Job*>& batch, int most, double cap);
+    [[nodiscard]] Room room_on(const Machine& m, const Job& j, int most, double loss_weight) const;
+    void take_room(const Room& r, const Job& j);
+    int make_room(const Job& j, double cap);
+    [[nodiscard]] double loss_of(const Entry& e) const;
+    void mark_slow(const Machine& m);
+
+    const State& v_;
+    const Settings& s_;
+    ledger::Proposals& out_;
+    double next_slow_ = 0;
+};
+
+} // namespace heronshift::policies
--- /dev/null
+++ b/include/heronshift/policies/rounds.hpp
@@ -0,0 +1,28 @@
+// Rounds: pull-back from overflow to the pool, then reordering, both capped (the paper's algorithm 2).
+#pragma once
+
+#include "heronshift/ledger/proposals.hpp"
+#include "heronshift/policies/common.hpp"
+
+namespace heronshift::policies {
+
+class Rounds {
+public:
+    Rounds(const State& view, ledger::Proposals& out) : v_(view), s_(view.settings), out_(out) {}
+    void plan_round();
+
+private:
+    using Planned = std::unordered_map<const Machine*, Resources>; // room a round has given away
+    [[nodiscard]] bool movable(const Entry& e) const;
+    void move_away(const Entry& e);
+    const Machine* place_to_move(const Entry& e, const std::vector<const Machine*>& to, Planned& planned) const;
+    void pull_back(const std::vector<const Machine*>& pool_machines, const Resources& pool, int cap, Planned& planned);
+    void reorder(std::vector<const Machine*>& pool_machines, std::vector<const Machine*>& leaving,
+                 const std::vector<const Machine*>& to, int cap, Planned& planned);
+
+    const State& v_;
+    const Settings& s_;
+    ledger::Proposals& out_;
+};
+
+} // namespace heronshift::policies
--- /dev/null
+++ b/include/heronshift/records/records.hpp
@@ -0,0 +1,111 @@
+// What the store holds of the cluster: read whole at a takeover, written a little each round, one
+// transaction at a time, most urgent first. Nothing is told that is not stored, and a placement is
+// not launched before its record is.
+//
+// Owns: the ring of placement records, the progress records, which final states and ready jobs are
+// due, the budget of changes, the transaction in flight. Its marks on jobs and entries (slot,
+// recorded, final_queued, dated) are its own to write.
+#pragma once
+
+#include "heronshift/ledger/ledger.hpp"
+#include "heronshift/records/intents.hpp"
+
+namespace heronshift {
+
+// What the store holds at a takeover.
+struct Snapshot {
+    std::vector<codec::Item> jobs, intents, progress, images, learned;
+    std::vector<codec::Item> earlier; // of the layout before: a record a machine, one a job
+};
+
+class Records final : public ledger::Bookkeeping {
+public:
+    // Enters what the store holds into the ledger, as it stands.
+    Records(ledger::Ledger& ledger, const Settings& settings, const Snapshot& stored, double wall,
+            std::vector<Effect>& out);
+
+    void added(ledger::Job& j) override;
+    void added(ledger::Entry& e) override;
+    void removed(ledger::Entry& e) override;
+    void final_due(ledger::Job& j, Urgency u) override;
+    void progressed(ledger::Job& j) override;
+    void became_ready(ledger::Job& j) override;
+
+    void collect_commit(); // the next transaction, if one is due and none is in flight
+    void committed(const Committed& c);
+    [[nodiscard]] bool waiting() const { // for the budget
+        return !txn_open_ && (!finals_.empty() || !taken_along_.empty() || !readies_.empty() || !unrecorded_.empty());
+    }
+    [[nodiscard]] std::uint64_t committed_count() const {
+        return committed_;
+    }
+
+private:
+    using Entry = ledger::Entry;
+    using Job = ledger::Job;
+    struct Draft;
+    void load(const Snapshot& s, double wall);
+    void load_intent(const intents::Intent& i, int slot);
+    void load_done(Job& j, std::string_view ranges);
+    void load_earlier(const Snapshot& s);
+    void hold_unproven(const std::string& machine);
+    void draft_finals(Draft& d);
+    void draft_ready(Draft& d);
+    void draft_intents(Draft& d);
+    static std::string slot_text(std::vector<Entry*> list);
+    static bool may_record(const Entry& e);
+    bool draft_slot(Draft& d, std::size_t slot);
+    void draft_progress(Draft& d);
+    void draft_images(Draft& d);
+    void load_images(const codec::Item& i);
+    void draft_learned(Draft& d);
+    void load_learned(const codec::Item& i, double wall);
+    void put_in_slot(Entry& e, int slot);
+    void leave_slot(Entry& e);
+    void drop_job(Job& j);
+    static std::size_t bucket_of(const std::string& id);
+    void note(int level, std::string text) {
+        l_.note(level, std::move(text));
+    }
+
+    ledger::Ledger& l_;
+    const Settings& s_;
+    std::vector<Effect>& out_;
+    // The transaction being built and the one in flight.
+    bool txn_open_ = false;
+    double write_tokens_ = 0, tokens_at_ = 0;
+    std::deque<Job*> finals_, readies_;
+    std::deque<Job*> taken_along_;         // by a cancellation, maybe hundreds: after all other final states
+    bool finals_only_ = false;             // the last transaction held no placement
+    std::size_t most_value_, most_ops_;    // of one record and one transaction: what the store takes
+    std::deque<std::string> gone_records_; // keys that mean nothing any more
+    // Placements are stored in a ring of records: new ones go, with what is still live of it, into
+    // the record that was written longest ago. So a launch costs its share of one write.
+    struct Slot {
+        std::vector<Entry*> entries;
+        std::size_t stale = 0;             // named in the store though gone
+        std::size_t size = 0, written = 0; // its length and placements, as last written
+    };
+    std::vector<Slot> ring_;
+    std::vector<Entry*> unrecorded_;
+    std::size_t next_slot_ = 0;
+    int too_long_ = -1; // a record of the ring that no longer fits: what is live of it is carried on
+    struct Bucket {     // a progress record: the done tasks of a share of the jobs
+        bool dirty = false;
+        double since = 0;
+    };
+    std::vector<Bucket> buckets_;
+    double next_idle_write_ = 0, next_images_ = 0, next_learned_ = 0;
+    struct InFlight {
+        std::vector<std::pair<Job*, ledger::Final>> finals, moves;
+        std::vector<Job*> readies;
+        std::vector<std::pair<Job*, std::vector<std::uint32_t>>> progress;
+        std::vector<std::size_t> slots, buckets;
+        std::vector<std::string> gone;
+    } in_flight_;
+    std::size_t image_part_ = 0, image_parts_ = 0;
+    std::string images_after_;
+    std::uint64_t committed_ = 0;
+};
+
+} // namespace heronshift
--- a/include/heronshift/replay/command_log.hpp
+++ b/include/heronshift/replay/command_log.hpp
@@ -5,7 +5,7 @@
 // Owns: the file that it writes. Knows nothing of sockets or clocks: times are those of the core.
 #pragma once
 
-#include "heronshift/core.hpp"
+#include "heronshift/core/core.hpp"
 
 #include <cstdint>
 #include <functional>
--- /dev/null
+++ b/src/core/core.cpp
@@ -0,0 +1,133 @@
+#include "heronshift/core/core.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace heronshift {
+
+Core::Core(const Settings& settings, std::uint64_t term, const Snapshot& stored, double now, double wall)
+    : s_(settings), ledger_(settings, term, now, wall, effects_), records_(ledger_, settings, stored, wall, effects_),
+      placement_(ledger_.view(), ledger_), rounds_(ledger_.view(), ledger_), capacity_(ledger_.view(), ledger_),
+      next_round_(now + settings.ops.round_s) {}
+
+void Core::take(Command& command) {
+    struct Taker {
+        Core& core;
+        void operator()(JobStored& c) const {
+            core.ledger_.add_job(c);
+        }
+        void operator()(JobFound& c) const {
+            core.ledger_.found(c);
+        }
+        void operator()(CancelAsked& c) const {
+            core.ledger_.cancel(c);
+        }
+        void operator()(Beat& c) const {
+            core.ledger_.heard(c);
+        }
+        void operator()(OrdersAnswered& c) const {
+            core.ledger_.answered(c);
+        }
+        void operator()(Committed& c) const {
+            core.records_.committed(c);
+        }
+        void operator()(Rented& c) const {
+            core.ledger_.rented(c);
+        }
+        void operator()(Released& c) const {
+            core.ledger_.released(c);
+        }
+        void operator()(Listed& c) const {
+            core.ledger_.listed(c);
+        }
+        void operator()(TypesKnown& c) const {
+            core.ledger_.types_known(std::move(c.types));
+        }
+    };
+    std::visit(Taker{*this}, command);
+}
+
+std::vector<Effect> Core::step(std::vector<Command>& commands, double now, double wall, bool entitled) {
+    ledger_.set_time(now, wall);
+    effects_.clear();
+    if (!entitled) {
+        // From a day on which a cut-off holder took the machines outside its zone for lost and gave
+        // them back the moment the cut ended, with all that ran there under its successor.
+        std::erase_if(commands, [this](const Command& c) {
+            const auto* b = std::get_if<Beat>(&c);
+            if (b != nullptr) effects_.emplace_back(BeatAnswer{b->handle, 503, 0, {}});
+            return b != nullptr;
+        });
+        wake_at_ = now + s_.report_s / 10;
+        return std::move(effects_);
+    }
+    for (auto& c : commands) take(c);
+    commands.clear();
+    if (now >= next_tick_) {
+        next_tick_ = now + s_.report_s / 20;
+        ledger_.lapse_machines();
+        placement_.drain_noticed();
+        placement_.find_slow();
+        capacity_.watch_silent();
+        ledger_.touch();
+    }
+    // A pass over what waits costs time: events gather for a moment first.
+    if (ledger_.dirty() && now >= next_schedule_) {
+        ledger_.take_dirty();
+        next_schedule_ = now + s_.report_s / 60;
+        ledger_.next_pass();
+        placement_.schedule();
+    }
+    if (now >= next_rent_) {
+        next_rent_ = now + s_.report_s / 3;
+        capacity_.plan_capacity();
+        capacity_.plan_shrink();
+        capacity_.return_machines();
+    }
+    if (now >= next_round_) {
+        next_round_ = now + s_.ops.round_s;
+        if (!ledger_.view().types.empty()) capacity_.note_fleet();
+        rounds_.plan_round();
+    }
+    ledger_.find_needs();
+    records_.collect_commit();
+    ledger_.send_due_orders();
+    wake_at_ = next_tick_;
+    if (records_.waiting()) wake_at_ = std::min(wake_at_, now + 1 / s_.state_write_rps); // as the budget allows
+    if (ledger_.dirty()) wake_at_ = std::min(wake_at_, next_schedule_);
+    return std::move(effects_);
+}
+
+std::optional<Shape> Core::shape_of(const std::string& id) const {
+    const auto* j = ledger_.view().find_job(id);
+    if (j == nullptr || ledger_.stepped_down()) return {};
+    return j->spec.shape;
+}
+
+std::size_t Core::machines_up() const {
+    const auto& all = ledger_.view().machines;
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [](const auto& m) { return m.second->status == ledger::Status::up; }));
+}
+
+std::size_t Core::live_tasks(const std::string& job) const {
+    const auto* j = ledger_.view().find_job(job);
+    return j == nullptr ? 0 : j->live;
+}
+
+std::string Core::metrics() const {
+    const auto& v = ledger_.view();
+    const auto& n = ledger_.counters();
+    std::size_t up = 0, live = 0;
+    for (const auto& [id, m] : v.machines) {
+        up += m->status == ledger::Status::up;
+        live += m->entries.size();
+    }
+    return fmt::format("heronshift_term {}\nheronshift_jobs {}\nheronshift_machines {}\nheronshift_machines_up {}\n"
+                       "heronshift_tasks_live {}\nheronshift_launches_total {}\nheronshift_lost_total {}\n"
+                       "heronshift_preempted_total {}\nheronshift_moved_total {}\nheronshift_commits_total {}\n",
+                       v.term, v.jobs.size(), v.machines.size(), up, live, n.launched, n.lost, n.preempted, n.moved,
+                       records_.committed_count());
+}
+
+} // namespace heronshift
--- a/src/core.cpp
+++ b/src/ledger/ledger.cpp
@@ -1,66 +1,63 @@
-#include "heronshift/core.hpp"
+#include "heronshift/ledger/ledger.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
 
-namespace heronshift {
+namespace heronshift::ledger {
 namespace {
 
 // Steady clocks drift apart by up to 0.05%; twice that, and some for timer steps.
 constexpr double drift = 1.001;
 constexpr double lapse_margin_reports = 0.05; // of report_s
 constexpr std::size_t most_orders = 200;      // to a machine at once
-constexpr double record_share = 0.92;         // of the longest value, the rest is for names and quoting
 
 } // namespace
 
-Core::Core(const Settings& settings, std::uint64_t term, const Snapshot& stored, double now, double wall)
-    : s_(settings), term_(term), now_(now), wall_(wall), started_(now), tokens_at_(now),
-      most_value_(static_cast<std::size_t>(s_.value_kb * 1024 * record_share)),
-      most_ops_(static_cast<std::size_t>(s_.txn_ops)) {
-    for (const auto& t : s_.teams) teams_.push_back({t, {}, {}});
-    write_tokens_ = s_.txn_ops;
-    load(stored, wall);
-    next_round_ = now + s_.ops.round_s;
+Ledger::Ledger(const Settings& settings, std::uint64_t term, double now, double wall, std::vector<Effect>& out)
+    : st_(settings), out_(out) {
+    st_.term = term;
+    st_.now = st_.started = now;
+    st_.wall = wall;
+    for (const auto& t : settings.teams) st_.teams.push_back({t, {}, {}});
 }
 
-Core::Job* Core::find_job(const std::string& id) {
-    const auto it = jobs_.find(id);
-    return it == jobs_.end() ? nullptr : it->second.get();
+Job* Ledger::find_job(const std::string& id) {
+    const auto it = st_.jobs.find(id);
+    return it == st_.jobs.end() ? nullptr : it->second.get();
 }
 
-Core::Machine* Core::find_machine(const std::string& id) {
-    const auto it = machines_.find(id);
-    return it == machines_.end() ? nullptr : it->second.get();
+Machine* Ledger::find_machine(const std::string& id) {
+    const auto it = st_.machines.find(id);
+    return it == st_.machines.end() ? nullptr : it->second.get();
 }
 
-void Core::bind_type(Machine& m) {
-    for (std::size_t i = 0; i < types_.size(); ++i)
-        if (types_[i].name == m.type_name) {
+void Ledger::bind_type(Machine& m) {
+    for (std::size_t i = 0; i < st_.types.size(); ++i)
+        if (st_.types[i].name == m.type_name) {
             m.type = static_cast<int>(i);
-            m.whole = types_[i].room;
+            m.whole = st_.types[i].room;
         }
     if (m.zone >= 0) return;
-    for (std::size_t i = 0; i < s_.zones.size(); ++i)
-        if (s_.zones[i] == m.zone_name) m.zone = static_cast<int>(i);
+    for (std::size_t i = 0; i < st_.settings.zones.size(); ++i)
+        if (st_.settings.zones[i] == m.zone_name) m.zone = static_cast<int>(i);
     if (m.zone < 0) return;
-    for (const auto& e : m.entries) { // counted as in an unknown zone until now
-        --e->job->zone_live[s_.zones.size()];
+    for (auto& e : m.entries) { // counted as in an unknown zone until now
+        --e->job->zone_live[st_.settings.zones.size()];
         ++e->job->zone_live[static_cast<std::size_t>(m.zone)];
     }
 }
 
-Core::Machine& Core::learn_machine(const std::string& id, const std::string& addr, const std::string& type,
-                                   const std::string& zone, bool spot) {
-    auto& slot = machines_[id];
+Machine& Ledger::learn_machine(const std::string& id, const std::string& addr, const std::string& type,
+                               const std::string& zone, bool spot) {
+    auto& slot = st_.machines[id];
     if (!slot) {
         slot = std::make_unique<Machine>();
         slot->id = id;
-        slot->known_since = now_;
-        slot->fence = term_ << fence_bits;
+        slot->known_since = st_.now;
+        slot->fence = st_.term << fence_bits;
         if (const auto hint = image_hints_.find(id); hint != image_hints_.end()) {
-            for (const auto image : hint->second) slot->images.push_back({image, true, now_});
+            for (const auto image : hint->second) slot->images.push_back({image, true, st_.now});
             image_hints_.erase(hint);
         }
     }
@@ -74,91 +71,33 @@
     return *slot;
 }
 
-std::vector<Effect> Core::step(std::vector<Command>& commands, double now, double wall, bool entitled) {
-    now_ = now;
-    wall_ = wall;
-    effects_.clear();
-    if (!entitled) {
-        // From a day on which a cut-off holder took the machines outside its zone for lost and gave
-        // them back the moment the cut ended, with all that ran there under its successor.
-        std::erase_if(commands, [this](const Command& c) {
-            const auto* b = std::get_if<Beat>(&c);
-            if (b != nullptr) effects_.push_back(BeatAnswer{b->handle, 503, 0, {}});
-            return b != nullptr;
-        });
-        wake_at_ = now_ + s_.report_s / 10;
-        return std::move(effects_);
-    }
-    for (auto& c : commands) std::visit([this](auto& x) { handle(x); }, c);
-    commands.clear();
-    if (now_ >= next_tick_) {
-        next_tick_ = now_ + s_.report_s / 20;
-        lapse_machines();
-        drain_noticed();
-        find_slow();
-        watch_silent();
-        dirty_ = true;
-    }
-    // A pass over what waits costs time: events gather for a moment first.
-    if (dirty_ && now_ >= next_schedule_) {
-        dirty_ = false;
-        next_schedule_ = now_ + s_.report_s / 60;
-        ++try_seq_;
-        schedule();
-    }
-    if (now_ >= next_rent_) {
-        next_rent_ = now_ + s_.report_s / 3;
-        plan_capacity();
-        plan_shrink();
-        return_machines();
-    }
-    if (now_ >= next_round_) {
-        next_round_ = now_ + s_.ops.round_s;
-        plan_round();
-    }
-    find_needs();
-    collect_commit();
-    const auto due = std::move(to_dispatch_);
-    to_dispatch_.clear();
-    for (auto* m : due) {
-        m->wants_orders = false;
-        if (m->batch == 0) dispatch(*m); // else once the answer is in
-    }
-    ask_machines();
-    wake_at_ = next_tick_;
-    if (!txn_open_ && (!finals_.empty() || !taken_along_.empty() || !readies_.empty() || !unrecorded_.empty()))
-        wake_at_ = std::min(wake_at_, now_ + 1 / s_.state_write_rps); // as soon as the budget allows
-    if (dirty_) wake_at_ = std::min(wake_at_, next_schedule_);
-    return std::move(effects_);
-}
-
-void Core::handle(JobStored& c) {
-    if (jobs_.contains(c.spec.id) || recent_.contains(c.spec.id)) return;
+void Ledger::add_job(JobStored& c) {
+    if (st_.jobs.contains(c.spec.id) || recent_.contains(c.spec.id)) return;
     auto j = std::make_unique<Job>();
     j->spec = std::move(c.spec);
-    j->submitted = now_ - c.age_s;
-    j->ready = now_ - (c.ready_age_s >= 0 ? c.ready_age_s : c.age_s);
+    j->submitted = st_.now - c.age_s;
+    j->ready = st_.now - (c.ready_age_s >= 0 ? c.ready_age_s : c.age_s);
     j->rank = j->spec.rank;
-    j->zone_live.resize(s_.zones.size() + 1);
-    j->bucket = bucket_of(j->spec.id);
+    j->zone_live.resize(st_.settings.zones.size() + 1);
     if (j->spec.shape == Shape::service)
-        for (const auto& o : s_.objectives)
+        for (const auto& o : st_.settings.objectives)
             if (o.kind == "wait" && o.job_class == j->spec.job_class) j->start_within_s = o.within_s;
     j->image = image_id(j->spec.image, j->spec.image_gb);
-    for (std::size_t i = 0; i < teams_.size(); ++i)
-        if (teams_[i].limits.name == j->spec.team) j->team = static_cast<int>(i);
+    for (std::size_t i = 0; i < st_.teams.size(); ++i)
+        if (st_.teams[i].limits.name == j->spec.team) j->team = static_cast<int>(i);
     auto& stored = *j;
-    jobs_.emplace(j->spec.id, std::move(j));
+    books_->added(stored);
+    st_.jobs.emplace(j->spec.id, std::move(j));
     if (const auto it = needed_by_.find(stored.spec.id); it != needed_by_.end())
-        for (const auto& id : it->second)
-            if (auto* n = find_job(id); n != nullptr) raise_needs(*n);
+        for (const auto& by : it->second)
+            if (auto* n = find_job(by); n != nullptr) raise_needs(*n);
     if (c.waits)
         wait_for_needs(stored);
     else
         join(stored);
 }
 
-void Core::queue_task(Job& j, std::uint32_t index, bool front) {
+void Ledger::queue_task(Job& j, std::uint32_t index, bool front) {
     auto& t = j.tasks[index];
     if (t.queued || t.done || t.live > 0) return;
     t.queued = true;
@@ -168,15 +107,15 @@
         j.pending.push_back(index);
 }
 
-void Core::handle(CancelAsked& c) {
+void Ledger::cancel(const CancelAsked& c) {
     auto* j = find_job(c.id);
     if (j == nullptr) {
-        const auto v = view(c.id);
-        effects_.push_back(CancelAnswer{c.handle, v ? std::string(v->status) : std::string()});
+        const auto v = job(c.id);
+        out_.push_back(CancelAnswer{c.handle, v ? std::string(v->status) : std::string()});
         return;
     }
     if (j->final != Final::none && j->final_stored) {
-        effects_.push_back(CancelAnswer{
+        out_.push_back(CancelAnswer{
             c.handle, std::string(j->final == Final::done ? codec::status_done : codec::status_cancelled)});
         return;
     }
@@ -184,80 +123,69 @@
     if (j->final == Final::none) finalize(*j, Final::cancelled);
 }
 
-void Core::finalize(Job& j, Final f, bool taken_along) {
+void Ledger::finalize(Job& j, Final f, bool taken_along) {
     j.final = f;
-    if (!j.final_queued) {
-        j.final_queued = true;
-        if (taken_along)
-            taken_along_.push_back(&j);
-        else if (f == Final::cancelled)
-            finals_.push_front(&j);
-        else
-            finals_.push_back(&j);
-    }
+    books_->final_due(j, taken_along             ? Bookkeeping::Urgency::taken_along
+                         : f == Final::cancelled ? Bookkeeping::Urgency::cancelled
+                                                 : Bookkeeping::Urgency::done);
     // Nobody has any use for what runs after a cancellation was asked for; the answer still
     // waits for the store.
     note(0, fmt::format("job {} of class {}, {} tasks, {} {:.1f} s after it was submitted{}", j.spec.id,
-                        j.spec.job_class, j.spec.tasks, f == Final::done ? "done" : "cancelled", now_ - j.submitted,
+                        j.spec.job_class, j.spec.tasks, f == Final::done ? "done" : "cancelled", st_.now - j.submitted,
                         j.spec.deadline_s >= 0 ? fmt::format(", due after {:.1f} s", j.spec.deadline_s) : ""));
-    for (auto* e : j.entries) stop_entry(*e, 0);
+    for (auto& e : j.entries) stop_entry(*e, 0);
     dirty_ = true;
 }
 
-double Core::lease_surely_s() const {
-    return s_.lease_s * drift + s_.report_s * lapse_margin_reports;
+double Ledger::lease_surely_s() const {
+    return st_.settings.lease_s * drift + st_.settings.report_s * lapse_margin_reports;
 }
 
-int Core::image_id(const std::string& name, double gb) {
-    const auto [it, fresh] = image_ids_.emplace(name, static_cast<int>(image_gb_.size()));
-    if (fresh) image_gb_.push_back(gb);
+int Ledger::image_id(const std::string& name, double gb) {
+    const auto [it, fresh] = image_ids_.emplace(name, static_cast<int>(st_.image_gb.size()));
+    if (fresh) st_.image_gb.push_back(gb);
     return it->second;
 }
 
-Core::CachedImage* Core::cached(Machine& m, int image) {
+CachedImage* Ledger::cached(Machine& m, int image) {
     for (auto& c : m.images)
         if (c.image == image) return &c;
     return nullptr;
 }
 
-bool Core::has_image(const Machine& m, int image) {
-    return std::any_of(m.images.begin(), m.images.end(),
-                       [&](const CachedImage& c) { return c.image == image && c.ready; });
-}
-
 // A machine keeps the images used last; what its cache cannot hold beside them is forgotten here too.
-void Core::use_image(Machine& m, int image, bool ready) {
+void Ledger::use_image(Machine& m, int image, bool ready) {
     auto* c = cached(m, image);
-    if (c == nullptr) c = &m.images.emplace_back(CachedImage{image, false, now_});
-    c->used = now_;
+    if (c == nullptr) c = &m.images.emplace_back(CachedImage{image, false, st_.now});
+    c->used = st_.now;
     if (!ready || c->ready) return;
     c->ready = true;
     if (m.type < 0) return;
-    double room = types_[static_cast<std::size_t>(m.type)].cache_gb;
+    double room = st_.types[static_cast<std::size_t>(m.type)].cache_gb;
     std::sort(m.images.begin(), m.images.end(), [](const auto& a, const auto& b) { return a.used > b.used; });
     for (std::size_t i = 0; i < m.images.size(); ++i) {
-        room -= image_gb_[static_cast<std::size_t>(m.images[i].image)];
+        room -= st_.image_gb[static_cast<std::size_t>(m.images[i].image)];
         if (room >= 0 || i == 0) continue;
         m.images.resize(i);
         return;
     }
 }
 
-void Core::want_orders(Machine& m) {
+void Ledger::want_orders(Machine& m) {
     if (m.wants_orders) return;
     m.wants_orders = true;
     to_dispatch_.push_back(&m);
 }
 
-void Core::forget_machine(const std::string& id) {
-    const auto it = machines_.find(id);
-    if (it == machines_.end()) return;
+void Ledger::forget_machine(const std::string& id) {
+    const auto it = st_.machines.find(id);
+    if (it == st_.machines.end()) return;
     if (it->second->asked) --asking_;
     std::erase(to_dispatch_, it->second.get());
-    machines_.erase(it);
+    st_.machines.erase(it);
 }
 
-Core::Entry& Core::add_entry(Machine& m, Job& j, std::uint32_t index, std::uint64_t try_no) {
+Entry& Ledger::add_entry(Machine& m, Job& j, std::uint32_t index, std::uint64_t try_no) {
     auto& e = *m.entries.emplace_back(std::make_unique<Entry>());
     e.machine = &m;
     e.job = &j;
@@ -265,30 +193,28 @@
     e.try_no = try_no;
     e.tenure = m.tenure;
     e.fence = m.fence;
-    e.placed_at = now_;
+    e.placed_at = st_.now;
     e.at_machine = m.entries.size() - 1;
     e.at_job = j.entries.size();
-    j.entries.push_back(&e);
-    put_in_slot(e, -1);
+    j.entries.emplace_back(&e);
+    books_->added(e);
     m.used += j.spec.each;
     if (j.spec.shape != Shape::array) m.firm += j.spec.each;
     m.empty_since = -1;
     ++j.live;
     ++j.tasks[index].live;
-    if (is_pool(m)) ++j.on_pool;
-    ++j.zone_live[m.zone < 0 ? s_.zones.size() : static_cast<std::size_t>(m.zone)];
-    if (j.team >= 0) teams_[static_cast<std::size_t>(j.team)].used += j.spec.each;
+    if (m.pool) ++j.on_pool;
+    ++j.zone_live[m.zone < 0 ? st_.settings.zones.size() : static_cast<std::size_t>(m.zone)];
+    if (j.team >= 0) st_.teams[static_cast<std::size_t>(j.team)].used += j.spec.each;
     use_image(m, j.image, false);
     return e;
 }
 
-void Core::remove_entry(Entry& gone) {
+void Ledger::remove_entry(Entry& gone) {
     auto& m = *gone.machine;
     auto& j = *gone.job;
-    leave_slot(gone);
-    if (gone.slot >= 0) ++ring_[static_cast<std::size_t>(gone.slot)].stale;
-    if (gone.carried_from >= 0) ++ring_[static_cast<std::size_t>(gone.carried_from)].stale;
-    j.entries[gone.at_job] = j.entries.back();
+    books_->removed(gone);
+    if (gone.at_job + 1 < j.entries.size()) j.entries[gone.at_job] = std::move(j.entries.back());
     j.entries[gone.at_job]->at_job = gone.at_job;
     j.entries.pop_back();
     const auto owned = std::move(m.entries[gone.at_machine]);
@@ -302,42 +228,39 @@
     if (j.spec.shape != Shape::array) m.firm -= j.spec.each;
     if (m.entries.empty()) {
         m.used = m.firm = {};
-        m.empty_since = now_;
+        m.empty_since = st_.now;
     }
     --j.live;
     --j.tasks[e.index].live;
-    if (j.on_pool > 0 && is_pool(m)) --j.on_pool;
+    if (j.on_pool > 0 && m.pool) --j.on_pool;
     if (e.phase == Phase::running && j.running > 0) --j.running;
-    --j.zone_live[m.zone < 0 ? s_.zones.size() : static_cast<std::size_t>(m.zone)];
-    if (j.team >= 0) teams_[static_cast<std::size_t>(j.team)].used -= j.spec.each;
+    --j.zone_live[m.zone < 0 ? st_.settings.zones.size() : static_cast<std::size_t>(m.zone)];
+    if (j.team >= 0) st_.teams[static_cast<std::size_t>(j.team)].used -= j.spec.each;
     const bool open = j.final == Final::none && !j.tasks[e.index].done;
     if (open) queue_task(j, e.index, true);
     // What a stale record named of an earlier attempt says nothing about this one.
     if (j.spec.shape == Shape::gang && open && e.try_no == j.gang_try) break_gang(j);
     if (j.live == 0) {
         j.gang_breaking = false;
-        if (j.final != Final::none && j.final_stored && !j.final_queued) {
-            j.final_queued = true;
-            finals_.push_back(&j);
-        }
+        if (j.final != Final::none && j.final_stored) books_->final_due(j, Bookkeeping::Urgency::done);
     }
     dirty_ = true;
 }
 
 // All tasks here are gone for good; what a transaction under way names is settled by its outcome.
-void Core::lose_entries(Machine& m) {
+void Ledger::lose_entries(Machine& m) {
     for (std::size_t i = m.entries.size(); i-- > 0;)
         if (m.entries[i]->phase != Phase::storing) remove_entry(*m.entries[i]);
 }
 
 // A gang that lost a task is stopped whole; it starts again once every old task is proven gone.
-void Core::break_gang(Job& j) {
+void Ledger::break_gang(Job& j) {
     if (j.gang_breaking || j.live == 0) return;
     j.gang_breaking = true;
-    for (auto* e : j.entries) stop_entry(*e, 0);
+    for (auto& e : j.entries) stop_entry(*e, 0);
 }
 
-void Core::stop_entry(Entry& e, double drain_s) {
+void Ledger::stop_entry(Entry& e, double drain_s) {
     if (e.stop && e.drain_s <= drain_s) return;
     e.stop = true;
     e.drain_s = drain_s;
@@ -345,14 +268,14 @@
     want_orders(*e.machine);
 }
 
-bool Core::may_reap(const ReportedTask& t) {
+bool Ledger::may_reap(const ReportedTask& t) {
     if (t.cause != ExitCause::done) return true;
     const auto* j = find_job(t.job);
     if (j == nullptr || j->final != Final::none) return true;
     return t.index >= j->tasks.size() || j->tasks[t.index].stored;
 }
 
-void Core::mark_done(Job& j, std::uint32_t index) {
+void Ledger::mark_done(Job& j, std::uint32_t index) {
     auto& t = j.tasks[index];
     if (t.done) return;
     t.done = true;
@@ -367,13 +290,12 @@
     }
     if (j.done == j.spec.tasks) {
         if (j.final == Final::none) finalize(j, Final::done);
-    } else if (auto& b = buckets_[j.bucket]; !b.dirty) {
-        b.dirty = true;
-        b.since = now_;
+    } else {
+        books_->progressed(j);
     }
 }
 
-void Core::task_exited(const Entry& e, const ReportedTask& t) {
+void Ledger::task_exited(Entry& e, const ReportedTask& t) {
     auto& m = *e.machine;
     auto& j = *e.job;
     auto& task = j.tasks[e.index];
@@ -381,12 +303,12 @@
     case ExitCause::done:
         m.failed_jobs.clear();
         // Of what an earlier holder started nobody knows how long it ran.
-        if (e.running_at >= 0 && task.saved_s <= 0 && e.try_no >> try_bits == term_)
-            note_run(j, m, now_ - e.running_at);
+        if (e.running_at >= 0 && task.saved_s <= 0 && e.try_no >> try_bits == st_.term)
+            note_run(j, m, st_.now - e.running_at);
         mark_done(j, e.index);
         break;
     case ExitCause::stopped:
-        if (t.saved && e.running_at >= 0) task.saved_s += static_cast<float>(now_ - e.running_at);
+        if (t.saved && e.running_at >= 0) task.saved_s += static_cast<float>(st_.now - e.running_at);
         break;
     case ExitCause::error:
         note(1, fmt::format("task {}/{} failed on {}", j.spec.id, e.index, m.id));
@@ -396,12 +318,13 @@
         if (!j.had_success && j.error_machines.size() >= 3) {
             // The same job failing on several machines: the job is at fault. It is tried again
             // with a growing pause and takes no machine down with it.
-            j.not_before = now_ + std::min(s_.lease_s * 3, s_.report_s * (1 << std::min(j.error_streak, 6)));
+            j.not_before = st_.now + std::min(st_.settings.lease_s * 3,
+                                              st_.settings.report_s * (1 << std::min(j.error_streak, 6)));
             for (const auto& id : j.error_machines)
                 if (auto* x = find_machine(id); x != nullptr) x->failed_jobs.erase(j.spec.id);
         } else {
             m.failed_jobs.insert(j.spec.id);
-            m.avoid_until = std::max(m.avoid_until, now_ + s_.lease_s);
+            m.avoid_until = std::max(m.avoid_until, st_.now + st_.settings.lease_s);
             if ((m.failed_jobs.size() >= 2 || j.had_success) && !m.bad) {
                 m.bad = true;
                 note(2, fmt::format("machine {} fails its tasks, taken out of use", m.id));
@@ -412,14 +335,14 @@
     case ExitCause::busy:
     case ExitCause::unknown:
         note(1, fmt::format("task {}/{} refused by {}", j.spec.id, e.index, m.id));
-        m.avoid_until = std::max(m.avoid_until, now_ + s_.report_s);
-        j.not_before = std::max(j.not_before, now_ + s_.report_s / 3);
+        m.avoid_until = std::max(m.avoid_until, st_.now + st_.settings.report_s);
+        j.not_before = std::max(j.not_before, st_.now + st_.settings.report_s / 3);
         break;
     default: break;
     }
 }
 
-void Core::update_entry(Entry& e, const ReportedTask& t) {
+void Ledger::update_entry(Entry& e, const ReportedTask& t) {
     e.seen = true;
     const auto was = e.phase;
     switch (t.state) {
@@ -433,57 +356,57 @@
     if (e.phase == Phase::running && was != Phase::running) {
         ++j.running;
         if (e.running_at < 0) {
-            e.running_at = now_;
+            e.running_at = st_.now;
             note(0, fmt::format("task {}/{} runs on {}, {:.1f} s after it was placed, {:.1f} s after its job was ready",
-                                j.spec.id, e.index, e.machine->id, now_ - e.placed_at, now_ - j.ready));
+                                j.spec.id, e.index, e.machine->id, st_.now - e.placed_at, st_.now - j.ready));
         }
-        if (j.first_start < 0) j.first_start = now_;
+        if (j.first_start < 0) j.first_start = st_.now;
     } else if (was == Phase::running && e.phase != Phase::running && j.running > 0) {
         --j.running;
     }
     if (e.phase == Phase::running || e.phase == Phase::waiting) use_image(*e.machine, j.image, true);
 }
 
-Core::Entry* Core::find_entry(const Machine& m, const ReportedTask& t) const {
-    for (const auto& e : m.entries)
+Entry* Ledger::find_entry(Machine& m, const ReportedTask& t) {
+    for (auto& e : m.entries)
         if (e->index == t.index && e->try_no == t.try_no && e->job->spec.id == t.job) return e.get();
     return nullptr;
 }
 
 // Returns false when the report shows that we are out of date.
-bool Core::apply_report(Machine& m, const Report& r, std::vector<Order>& reaps) {
+bool Ledger::apply_report(Machine& m, const Report& r, std::vector<Order>& reaps) {
     if (r.fence > m.fence) {
-        if (r.fence >> fence_bits > term_) {
+        if (r.fence >> fence_bits > st_.term) {
             stepped_down_ = true;
-            effects_.push_back(StepDown{fmt::format("{} has seen fence {} above ours", m.id, r.fence)});
+            out_.push_back(StepDown{fmt::format("{} has seen fence {} above ours", m.id, r.fence)});
             return false;
         }
-        if (r.fence >> fence_bits == term_) m.fence = r.fence;
+        if (r.fence >> fence_bits == st_.term) m.fence = r.fence;
     }
     const bool newer = r.tenure > m.tenure || (r.tenure == m.tenure && r.counter > m.counter);
     if (!newer) return true; // late: its task list is as old as the report
-    if (r.fence >> fence_bits == term_) unproven_.erase(m.id);
+    if (r.fence >> fence_bits == st_.term) st_.unproven_machines.erase(m.id);
     if (r.tenure > m.tenure) {
         // A new tenure: all tasks of the earlier ones are gone, and commands for those are void.
         for (std::size_t i = m.entries.size(); i-- > 0;)
             if (m.entries[i]->tenure < r.tenure) {
-                ++lost_;
+                ++counters_.lost;
                 remove_entry(*m.entries[i]);
             }
         m.tenure = r.tenure;
         m.failed_jobs.clear();
         // The lease of a new tenure counts from its beginning, which was at the latest now: it holds
         // without any report that we answered. (Found by the world with several controllers.)
-        m.last_seen = std::max(m.last_seen, now_);
+        m.last_seen = std::max(m.last_seen, st_.now);
     }
     m.counter = r.counter;
-    m.heard = now_;
+    m.heard = st_.now;
     m.presumed_dead = false;
     if (m.status != Status::up) {
-        m.last_seen = std::max(m.last_seen, now_); // it may report to nobody yet
+        m.last_seen = std::max(m.last_seen, st_.now); // it may report to nobody yet
         m.status = Status::up;
-        if (m.up_since < 0) m.up_since = now_;
-        if (m.entries.empty()) m.empty_since = now_;
+        if (m.up_since < 0) m.up_since = st_.now;
+        if (m.entries.empty()) m.empty_since = st_.now;
         dirty_ = true;
     }
     const auto mark = ++report_seq_;
@@ -522,7 +445,7 @@
     // What is not listed is gone if it had been seen here before, or if the machine had by then
     // seen a fence above that of its launch, which can therefore no longer be executed.
     std::vector<Entry*> gone;
-    for (const auto& e : m.entries)
+    for (auto& e : m.entries)
         if (e->listed != mark && e->phase >= Phase::sent && (e->seen || r.fence > e->fence)) gone.push_back(e.get());
     for (const auto& [e, t] : ended) {
         task_exited(*e, *t);
@@ -534,44 +457,44 @@
     if (r.notice_s >= 0 && !m.draining) {
         note_spot_loss();
         m.draining = true;
-        m.notice_until = now_ + r.notice_s;
+        m.notice_until = st_.now + r.notice_s;
         note(1, fmt::format("machine {} is taken back in {:.0f} s", m.id, r.notice_s));
         dirty_ = true;
     }
     return true;
 }
 
-std::vector<Order> Core::standing_orders(Machine& m) {
+std::vector<Order> Ledger::standing_orders(Machine& m) {
     std::vector<Order> out;
     for (auto& e : m.entries)
         if (e->stop && e->phase >= Phase::sent) {
             // A second stop of a saving task with no grace would end it before it has saved.
             if (e->phase == Phase::saving && e->drain_s > 0) continue;
-            e->stop_at = now_;
+            e->stop_at = st_.now;
             out.push_back({Verb::stop, e->job->spec.id, e->index, e->try_no, e->drain_s});
         }
     return out;
 }
 
-void Core::handle(Beat& c) {
+void Ledger::heard(const Beat& c) {
     const auto& r = c.report;
     if (released_.contains(r.machine)) { // a report that was held on the way
-        effects_.push_back(BeatAnswer{c.handle, 503, 0, {}});
+        out_.push_back(BeatAnswer{c.handle, 503, 0, {}});
         return;
     }
     auto& m = learn_machine(r.machine, r.addr, r.type, r.zone, r.spot);
     std::vector<Order> orders;
     if (!apply_report(m, r, orders)) {
-        effects_.push_back(BeatAnswer{c.handle, 503, 0, {}});
+        out_.push_back(BeatAnswer{c.handle, 503, 0, {}});
         return;
     }
-    m.last_seen = std::max(m.last_seen, now_);
+    m.last_seen = std::max(m.last_seen, st_.now);
     auto stops = standing_orders(m);
     orders.insert(orders.end(), stops.begin(), stops.end());
-    effects_.push_back(BeatAnswer{c.handle, 200, m.fence, std::move(orders)});
+    out_.push_back(BeatAnswer{c.handle, 200, m.fence, std::move(orders)});
 }
 
-void Core::dispatch(Machine& m) {
+void Ledger::dispatch(Machine& m) {
     SendOrders o;
     for (auto& e : m.entries) {
         if (o.orders.size() >= most_orders) {
@@ -579,7 +502,7 @@
             break;
         }
         if (e->stop && e->phase >= Phase::sent && e->stop_at < 0) {
-            e->stop_at = now_;
+            e->stop_at = st_.now;
             o.orders.push_back({Verb::stop, e->job->spec.id, e->index, e->try_no, e->drain_s});
         }
     }
@@ -598,7 +521,7 @@
         // Each launch is sent once: repeated after a reap it would start the task again.
         e.phase = Phase::sent;
         e.fence = m.fence;
-        ++launched_;
+        ++counters_.launched;
         o.orders.push_back({Verb::launch, e.job->spec.id, e.index, e.try_no, 0});
     }
     if (o.orders.empty()) return;
@@ -607,25 +530,25 @@
     o.batch = m.batch = ++batch_seq_;
     o.fence = m.fence;
     o.tenure = m.tenure;
-    effects_.push_back(std::move(o));
+    out_.push_back(std::move(o));
 }
 
 // After a takeover workers find us one by one as their reports to others fail. Asked directly they
 // tell at once what they run, and having seen our term they prove what they do not run.
-void Core::ask_machines() {
+void Ledger::ask_machines() {
     constexpr std::size_t at_once = 40;
     while (!to_ask_.empty() && asking_ < at_once) {
         auto* m = find_machine(to_ask_.front());
         to_ask_.pop_front();
-        if (m == nullptr || now_ - m->heard < s_.report_s || m->batch != 0 || m->addr.empty()) continue;
+        if (m == nullptr || st_.now - m->heard < st_.settings.report_s || m->batch != 0 || m->addr.empty()) continue;
         ++asking_;
         m->asked = true;
         m->batch = ++batch_seq_;
-        effects_.push_back(SendOrders{m->id, m->addr, m->batch, m->fence, std::max<std::uint64_t>(1, m->tenure), {}});
+        out_.push_back(SendOrders{m->id, m->addr, m->batch, m->fence, std::max<std::uint64_t>(1, m->tenure), {}});
     }
 }
 
-void Core::handle(OrdersAnswered& c) {
+void Ledger::answered(const OrdersAnswered& c) {
     auto* m = find_machine(c.machine);
     if (m == nullptr || m->batch != c.batch) return;
     m->batch = 0;
@@ -639,7 +562,7 @@
     }
     want_orders(*m);
     const auto fence = m->fence;
-    auto outstanding = [&](const std::unique_ptr<Entry>& e) {
+    auto outstanding = [&](const Deep<std::unique_ptr<Entry>>& e) {
         return e->phase == Phase::sent && !e->seen && e->fence == fence;
     };
     std::vector<Order> reaps;
@@ -655,42 +578,43 @@
     if (c.status == 409 || !c.sent) {
         for (std::size_t i = m->entries.size(); i-- > 0;)
             if (outstanding(m->entries[i])) remove_entry(*m->entries[i]);
-        for (auto& e : m->entries) e->stop_at = e->stop ? now_ : e->stop_at; // beats repeat the stops
-        if (!c.sent) m->avoid_until = std::max(m->avoid_until, now_ + s_.report_s / 2);
+        for (auto& e : m->entries) e->stop_at = e->stop ? st_.now : e->stop_at; // beats repeat the stops
+        if (!c.sent) m->avoid_until = std::max(m->avoid_until, st_.now + st_.settings.report_s / 2);
         if (c.report) apply_report(*m, *c.report, reaps);
         return;
     }
     // The outcome is open: the commands may still be executed, minutes later. Raising the fence
     // and seeing the raised value in a report proves that they no longer can be.
     ++m->fence;
-    m->avoid_until = std::max(m->avoid_until, now_ + s_.report_s / 2);
+    m->avoid_until = std::max(m->avoid_until, st_.now + st_.settings.report_s / 2);
     note(0, fmt::format("no answer of {} to commands, fence raised to {}", m->id, m->fence));
 }
 
-void Core::lapse_machines() {
+void Ledger::lapse_machines() {
     const double lease = lease_surely_s();
     std::vector<std::string> remove;
-    for (auto& [id, mp] : machines_) {
+    for (auto& [id, mp] : st_.machines) {
         auto& m = *mp;
-        if (m.status == Status::up && now_ > m.last_seen + lease) {
+        if (m.status == Status::up && st_.now > m.last_seen + lease) {
             if (!m.entries.empty()) note(2, fmt::format("lease of {} has lapsed, {} tasks lost", id, m.entries.size()));
-            for (const auto& e : m.entries) lost_ += e->phase >= Phase::sent;
+            for (const auto& e : m.entries) counters_.lost += e->phase >= Phase::sent;
             if (m.spot) note_spot_loss();
             lose_entries(m);
             m.status = Status::lost;
-            m.empty_since = now_;
-            unproven_.erase(id);
+            m.empty_since = st_.now;
+            st_.unproven_machines.erase(id);
         }
         // Gone from the list for good, or never there: nothing of it is left to keep.
-        const bool unlisted = now_ - std::max(m.listed_at, m.known_since) > 4 * s_.list_lag_s + 2 * s_.lease_s;
+        const bool unlisted =
+            st_.now - std::max(m.listed_at, m.known_since) > 4 * st_.settings.list_lag_s + 2 * st_.settings.lease_s;
         if (m.status != Status::up && m.entries.empty() && unlisted && m.batch == 0) remove.push_back(id);
     }
     for (const auto& id : remove) forget_machine(id);
 }
 
-void Core::handle(Rented& c) {
-    const auto it = rentals_.find(c.claim);
-    if (it == rentals_.end()) return;
+void Ledger::rented(const Rented& c) {
+    const auto it = st_.rentals.find(c.claim);
+    if (it == st_.rentals.end()) return;
     auto& p = it->second;
     p.in_flight = false;
     if (c.outcome == RentOutcome::rented) {
@@ -701,70 +625,70 @@
         note(1, fmt::format("rented {} of {} {} in {}{}", c.machines.size(), p.count, p.type, p.zone,
                             p.spot ? " (spot)" : ""));
         if (static_cast<int>(c.machines.size()) < p.count)
-            no_capacity_[fmt::format("{}/{}/{}", p.type, p.zone, p.spot)] = now_ + 2 * s_.report_s;
-        rentals_.erase(it);
+            st_.no_capacity[fmt::format("{}/{}/{}", p.type, p.zone, p.spot)] = st_.now + 2 * st_.settings.report_s;
+        st_.rentals.erase(it);
     } else if (c.outcome == RentOutcome::no_capacity) {
-        no_capacity_[fmt::format("{}/{}/{}", p.type, p.zone, p.spot)] = now_ + 2 * s_.report_s;
-        rentals_.erase(it);
+        st_.no_capacity[fmt::format("{}/{}/{}", p.type, p.zone, p.spot)] = st_.now + 2 * st_.settings.report_s;
+        st_.rentals.erase(it);
     } else if (c.outcome == RentOutcome::failed) {
-        rentals_.erase(it); // surely not executed
+        st_.rentals.erase(it); // surely not executed
     } else {
         // The answer was lost: the same claim again, so that nothing is rented twice.
         p.in_flight = true;
-        effects_.push_back(Rent{c.claim, p.type, p.zone, p.spot, p.count});
+        out_.push_back(Rent{c.claim, p.type, p.zone, p.spot, p.count});
     }
 }
 
-void Core::handle(Released& c) {
+void Ledger::released(const Released& c) {
     for (const auto& id : c.machines) {
         auto* m = find_machine(id);
         if (m == nullptr) continue;
         m->release_asked = false;
         if (!c.ok) {
-            m->release_retry = now_ + s_.report_s;
+            m->release_retry = st_.now + st_.settings.report_s;
             continue;
         }
         // By the time of the answer the machine and everything on it are gone.
         lose_entries(*m);
         if (!m->entries.empty()) continue; // asked again once the store has answered
-        released_[id] = now_;
+        released_[id] = st_.now;
         forget_machine(id);
     }
     while (released_.size() > 2000) released_.erase(released_.begin());
     dirty_ = true;
 }
 
-void Core::handle(Listed& c) {
+void Ledger::listed(const Listed& c) {
     for (const auto& l : c.machines) {
         // The list lags: what was released may still be in it for a while.
         if (released_.contains(l.id)) continue;
         auto& m = learn_machine(l.id, l.addr, l.type, l.zone, l.spot);
-        m.listed_at = now_;
+        m.listed_at = st_.now;
         // Known from records or a report first, as after a takeover, it is older than that: from a day on
         // which no machine was emptied for a minute after each change of office, 300 too many kept.
-        m.known_since = std::min(m.known_since, now_ - l.age_s);
+        m.known_since = std::min(m.known_since, st_.now - l.age_s);
         if (l.status == "failed" && !m.releasing) {
             note(1, fmt::format("machine {} has failed", m.id));
             lose_entries(m);
             m.status = Status::lost;
             m.bad = true;
         }
-        if (!asked_all_ && l.status == "running") to_ask_.push_back(l.id);
+        if (!st_.asked_all && l.status == "running") to_ask_.push_back(l.id);
     }
-    asked_all_ = true;
+    st_.asked_all = true;
     dirty_ = true;
 }
 
-void Core::handle(TypesKnown& c) {
-    types_ = std::move(c.types);
-    for (auto& [id, m] : machines_) bind_type(*m);
+void Ledger::types_known(std::vector<MachineType>&& types) {
+    st_.types = std::move(types);
+    for (auto& [id, m] : st_.machines) bind_type(*m);
     dirty_ = true;
 }
 
-std::optional<JobView> Core::view(const std::string& id) const {
-    const auto it = jobs_.find(id);
+std::optional<JobView> Ledger::job(const std::string& id) const {
+    const auto it = st_.jobs.find(id);
     if (stepped_down_) return {};
-    if (it == jobs_.end()) {
+    if (it == st_.jobs.end()) {
         const auto r = recent_.find(id);
         if (r == recent_.end()) return {};
         return JobView{r->second == Final::done ? codec::status_done : codec::status_cancelled, 0, 0};
@@ -780,27 +704,59 @@
     return v;
 }
 
-std::size_t Core::machines_up() const {
-    return static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(),
-                                                  [](const auto& m) { return m.second->status == Status::up; }));
+void Ledger::send_due_orders() {
+    const auto due = std::move(to_dispatch_);
+    to_dispatch_.clear();
+    for (auto* m : due) {
+        m->wants_orders = false;
+        if (m->batch == 0) dispatch(*m); // else once the answer is in
+    }
+    ask_machines();
+}
+
+void Ledger::remember_final(const Job& j) {
+    if (!recent_.emplace(j.spec.id, j.final).second) return;
+    recent_order_.push_back(j.spec.id);
+    if (recent_order_.size() <= 5000) return;
+    recent_.erase(recent_order_.front());
+    recent_order_.pop_front();
+}
+
+void Ledger::forget_job(Job& j) {
+    if (j.team >= 0)
+        std::erase_if(st_.teams[static_cast<std::size_t>(j.team)].jobs, [&](const auto& x) { return x == &j; });
+    forget_needs(j);
+    st_.jobs.erase(std::string(j.spec.id));
+}
+
+void Ledger::note_spot_loss() {
+    auto& l = st_.learned;
+    l.spot_losses = l.spot_losses * std::exp(-(st_.now - l.spot_losses_at) / st_.average_s()) + 1;
+    l.spot_losses_at = st_.now;
 }
 
-std::size_t Core::live_tasks(const std::string& job) const {
-    const auto it = jobs_.find(job);
-    return it == jobs_.end() ? 0 : it->second->live;
+// Work that arrays bring, averaged over a while: what is kept for those to come.
+void Ledger::offer(const Job& j) {
+    if (j.spec.shape != Shape::array) return;
+    auto& l = st_.learned;
+    const double over = st_.average_s();
+    l.offered *= std::exp(-(st_.now - l.offered_at) / over);
+    l.offered_at = st_.now;
+    l.offered += st_.work_left(j) / over * std::exp(-std::max(0.0, st_.now - j.ready) / over);
 }
 
-std::string Core::metrics() const {
-    std::size_t up = 0, live = 0;
-    for (const auto& [id, m] : machines_) {
-        up += m->status == Status::up;
-        live += m->entries.size();
+// Tasks of one job take much the same time, so the longest of those that are through tells what is
+// too long, long before any estimate would.
+void Ledger::note_run(Job& j, const Machine& m, double ran) {
+    if (j.spec.shape != Shape::array) return;
+    if (j.spec.estimate_s > 0) {
+        // On some days most estimates are too low: sums, since single ones are often wrong by half.
+        auto& l = st_.learned;
+        l.ran_s = 0.995 * l.ran_s + std::min(ran, 5 * j.spec.estimate_s);
+        l.estimated_s = 0.995 * l.estimated_s + j.spec.estimate_s;
     }
-    return fmt::format("heronshift_term {}\nheronshift_jobs {}\nheronshift_machines {}\nheronshift_machines_up {}\n"
-                       "heronshift_tasks_live {}\nheronshift_launches_total {}\nheronshift_lost_total {}\n"
-                       "heronshift_preempted_total {}\nheronshift_moved_total {}\nheronshift_commits_total {}\n",
-                       term_, jobs_.size(), machines_.size(), up, live, launched_, lost_, preempted_, moved_,
-                       committed_);
+    ++j.runs;
+    if (st_.now >= m.slow_until) j.longest_run = std::max(j.longest_run, ran);
 }
 
-} // namespace heronshift
+} // namespace heronshift::ledger
--- a/src/chains.cpp
+++ b/src/ledger/needs.cpp
@@ -1,12 +1,12 @@
 // Jobs that wait for others: when they are ready, what a cancellation takes along, and what those
 // that need a job make of its order.
-#include "heronshift/core.hpp"
+#include "heronshift/ledger/ledger.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
-namespace heronshift {
+namespace heronshift::ledger {
 namespace {
 
 constexpr std::size_t finds_at_once = 8;
@@ -15,12 +15,12 @@
 } // namespace
 
 // From now on it is work like any other: it waits for room, counts to its team and may be rented for.
-void Core::join(Job& j) {
+void Ledger::join(Job& j) {
     j.tasks.resize(j.spec.tasks); // a flood of waiting jobs costs no memory for tasks
     if (j.team >= 0) {
-        auto& list = teams_[static_cast<std::size_t>(j.team)].jobs; // in the order they became ready
-        const auto at = std::find_if(list.rbegin(), list.rend(), [&](const Job* o) { return o->ready <= j.ready; });
-        list.insert(at.base(), &j);
+        auto& list = st_.teams[static_cast<std::size_t>(j.team)].jobs; // in the order they became ready
+        const auto at = std::find_if(list.rbegin(), list.rend(), [&](const auto& o) { return o->ready <= j.ready; });
+        list.emplace(at.base(), &j);
     }
     for (std::uint32_t i = 0; i < j.spec.tasks; ++i) queue_task(j, i, false);
     offer(j);
@@ -29,7 +29,7 @@
 
 // A need counts as met only once the store holds that it is done: what only this memory knows might
 // be run again by the next holder, and then a start would have been too early.
-void Core::wait_for_needs(Job& j) {
+void Ledger::wait_for_needs(Job& j) {
     j.waits = true;
     j.dated = false;
     bool doomed = false;
@@ -45,7 +45,7 @@
         }
         j.unmet.push_back(id);
         needed_by_[id].insert(j.spec.id);
-        if (n == nullptr) look_for(id, now_);
+        if (n == nullptr) look_for(id, st_.now);
     }
     if (j.spec.needs_damaged) {
         j.unmet.emplace_back(); // never settled
@@ -59,17 +59,17 @@
         become_ready(j);
 }
 
-void Core::become_ready(Job& j) {
+void Ledger::become_ready(Job& j) {
     j.waits = false;
-    j.ready = now_;
-    readies_.push_back(&j);
-    note(0, fmt::format("job {} is ready, {:.1f} s after it was submitted", j.spec.id, now_ - j.submitted));
+    j.ready = st_.now;
+    books_->became_ready(j);
+    note(0, fmt::format("job {} is ready, {:.1f} s after it was submitted", j.spec.id, st_.now - j.submitted));
     join(j);
 }
 
 // Called once the final state of a job is in the store. A cancellation takes along all that need it,
 // directly or not: as the first one is stored, every later holder finds the same.
-void Core::need_settled(const std::string& id, Final f) {
+void Ledger::need_settled(const std::string& id, Final f) {
     std::vector<std::string> settled{id};
     while (!settled.empty()) {
         const auto it = needed_by_.find(settled.back());
@@ -95,14 +95,15 @@
 
 // The backward pass: a job is as urgent as the most urgent that needs it, and is to be done before
 // the latest start of those. It goes on only where it changes something.
-void Core::raise_needs(Job& from) {
+void Ledger::raise_needs(Job& from) {
     std::vector<Job*> stack{&from};
     while (!stack.empty()) {
         auto& j = *stack.back();
         stack.pop_back();
         if (j.final != Final::none) continue;
-        const double due = due_at(j);
-        const double start = due < 0 ? -1 : due - estimate_slack * std::max(1.0, j.spec.estimate_s) - s_.report_s;
+        const double due = st_.due_at(j);
+        const double start =
+            due < 0 ? -1 : due - estimate_slack * std::max(1.0, j.spec.estimate_s) - st_.settings.report_s;
         for (const auto& id : j.unmet) {
             auto* n = find_job(id);
             if (n == nullptr || n->final != Final::none) continue;
@@ -120,14 +121,14 @@
     }
 }
 
-void Core::look_for(const std::string& id, double at) {
+void Ledger::look_for(const std::string& id, double at) {
     to_find_.emplace(at, id);
 }
 
 // Jobs that others need and that are not known here: finished before this term, or accepted by
 // another node a moment ago.
-void Core::find_needs() {
-    while (finding_ < finds_at_once && !to_find_.empty() && to_find_.begin()->first <= now_) {
+void Ledger::find_needs() {
+    while (finding_ < finds_at_once && !to_find_.empty() && to_find_.begin()->first <= st_.now) {
         auto id = std::move(to_find_.begin()->second);
         to_find_.erase(to_find_.begin());
         if (!needed_by_.contains(id)) continue;
@@ -140,20 +141,20 @@
             continue;
         }
         ++finding_;
-        effects_.push_back(FindJob{std::move(id)});
+        out_.push_back(FindJob{std::move(id)});
     }
 }
 
-void Core::handle(JobFound& c) {
+void Ledger::found(JobFound& c) {
     if (finding_ > 0) --finding_;
     switch (c.state) {
     case Known::done:
     case Known::cancelled: need_settled(c.id, c.state == Known::done ? Final::done : Final::cancelled); break;
     case Known::open:
-        if (c.job) handle(*c.job);
-        look_for(c.id, now_ + s_.lease_s); // met by its own end, or else asked for again
+        if (c.job) add_job(*c.job);
+        look_for(c.id, st_.now + st_.settings.lease_s); // met by its own end, or else asked for again
         break;
-    case Known::no_answer: look_for(c.id, now_ + s_.report_s / 10); break;
+    case Known::no_answer: look_for(c.id, st_.now + st_.settings.report_s / 10); break;
     case Known::never:
         if (const auto it = needed_by_.find(c.id); it != needed_by_.end())
             note(2, fmt::format("job {} and {} others wait for {}, of which the store knows nothing",
@@ -161,7 +162,7 @@
     }
 }
 
-void Core::forget_needs(Job& j) {
+void Ledger::forget_needs(Job& j) {
     for (const auto& id : j.unmet) {
         const auto it = needed_by_.find(id);
         if (it == needed_by_.end()) continue;
@@ -170,10 +171,4 @@
     }
 }
 
-std::optional<Shape> Core::shape_of(const std::string& id) const {
-    const auto it = jobs_.find(id);
-    if (it == jobs_.end() || stepped_down_) return {};
-    return it->second->spec.shape;
-}
-
-} // namespace heronshift
+} // namespace heronshift::ledger
--- /dev/null
+++ b/src/ledger/proposals.cpp
@@ -0,0 +1,151 @@
+// What policies propose, checked and entered.
+#include "heronshift/ledger/ledger.hpp"
+
+#include <fmt/format.h>
+
+namespace heronshift::ledger {
+
+// Every placement comes through here; a rule that it would break stops it, whoever planned it.
+bool Ledger::place(const Job& job, const Machine& machine) {
+    auto& j = own(job);
+    auto& m = own(machine);
+    if (const auto* why = st_.refusal(j, m); why != nullptr) {
+        note(2, fmt::format("no task of job {} on {}: {}", j.spec.id, m.id, why));
+        return false;
+    }
+    while (!j.pending.empty()) {
+        const auto i = j.pending.front();
+        j.pending.pop_front();
+        j.tasks[i].queued = false;
+        if (j.tasks[i].done || j.tasks[i].live > 0) continue;
+        // A task is placed once a pass at most, so the pass makes the attempt unique.
+        const auto try_no = (st_.term << try_bits) + try_seq_;
+        if (j.spec.shape == Shape::gang) j.gang_try = try_no;
+        add_entry(m, j, i, try_no);
+        // What was made room for is there: others may have the rest.
+        if (m.reserved_for == &j && --m.reserved_tasks <= 0) m.reserved_for = nullptr;
+        return true;
+    }
+    return false;
+}
+
+void Ledger::drop_settled(const Job& job, bool all) {
+    auto& j = own(job);
+    const auto settled = [&](std::uint32_t i) {
+        const bool over = j.tasks[i].done || j.tasks[i].live > 0;
+        if (over) j.tasks[i].queued = false;
+        return over;
+    };
+    if (all) {
+        std::erase_if(j.pending, settled);
+        return;
+    }
+    while (!j.pending.empty() && settled(j.pending.front())) j.pending.pop_front();
+}
+
+void Ledger::stop(const Entry& e, double drain_s) {
+    stop_entry(own(e), drain_s);
+}
+
+void Ledger::preempt(const Entry& e) {
+    stop_entry(own(e), 0);
+    ++counters_.preempted;
+}
+
+void Ledger::move_away(const Entry& e, double drain_s) {
+    stop_entry(own(e), drain_s);
+    own(e).moving = true;
+    ++counters_.moved;
+}
+
+void Ledger::gang_whole(const Job& j) {
+    own(j).gang_breaking = false;
+}
+
+void Ledger::reserve(const Machine& machine, const Job& j, int tasks, double until) {
+    auto& m = own(machine);
+    m.reserved_for = &j;
+    m.reserved_rank = j.rank;
+    m.reserved_until = until;
+    m.reserved_tasks = tasks;
+}
+
+void Ledger::room_asked(const Job& j, double until) {
+    own(j).room_until = until;
+}
+
+void Ledger::good_room(const Job& j, bool being_made) {
+    own(j).good_room = being_made;
+}
+
+void Ledger::set_pool(const std::vector<const Machine*>& pool, const Resources& service_shape) {
+    st_.service_shape = service_shape;
+    for (auto& [id, m] : st_.machines) m->pool = false;
+    for (const auto* m : pool) own(*m).pool = true;
+}
+
+void Ledger::set_common_shape(const Resources& r) {
+    st_.common_shape = r;
+}
+
+// A job is within its team's guarantee if it fits into that with the team's earlier ones.
+void Ledger::mark_guarantees() {
+    for (auto& t : st_.teams) {
+        double cpus = 0, gpus = 0;
+        for (auto& j : t.jobs) {
+            if (j->final != Final::none) continue;
+            cpus += j->spec.each.cpus * j->spec.tasks;
+            gpus += j->spec.each.gpus * j->spec.tasks;
+            // What is guaranteed nothing of what a job uses is no guarantee for it.
+            const bool some = t.limits.cpus > 0 || (t.limits.gpus > 0 && j->spec.each.gpus > 0);
+            j->guaranteed = some && (t.limits.cpus <= 0 || cpus <= t.limits.cpus + 1e-6) &&
+                            (t.limits.gpus <= 0 || gpus <= t.limits.gpus + 1e-6);
+        }
+    }
+}
+
+void Ledger::blame(const Entry& e) {
+    auto& blamed = own(e).job->tasks[e.index].blamed;
+    if (blamed < 4) ++blamed;
+}
+
+void Ledger::slow(const Machine& m, double until) {
+    own(m).slow_until = until;
+    ++own(m).slow_seen;
+}
+
+void Ledger::retire(const Machine& m, bool leave) {
+    own(m).retiring = leave;
+    if (!leave) dirty_ = true;
+}
+
+void Ledger::rent(const Pending& p) {
+    // The term makes the name unique among all holders there ever were.
+    const auto claim = fmt::format("r-{}-{}", st_.term, ++claim_seq_);
+    st_.rentals[claim] = p;
+    out_.emplace_back(Rent{claim, p.type, p.zone, p.spot, p.count});
+}
+
+void Ledger::ask(const Machine& m) {
+    own(m).asked_at = st_.now;
+    to_ask_.push_back(m.id);
+}
+
+void Ledger::presume_dead(const Machine& m) {
+    own(m).presumed_dead = true;
+}
+
+void Ledger::give_back(const Machine& machine) {
+    auto& m = own(machine);
+    m.releasing = m.release_asked = true;
+    if (!m.presumed_dead) return;
+    note_spot_loss();
+    note(1, fmt::format("spot machine {} is silent, {} tasks start elsewhere once it is surely gone", m.id,
+                        m.entries.size()));
+}
+
+void Ledger::release(std::vector<std::string> machines) {
+    out_.emplace_back(Release{std::move(machines)});
+}
+
+} // namespace heronshift::ledger
--- a/src/capacity.cpp
+++ b/src/policies/capacity.cpp
@@ -1,26 +1,21 @@
 // Capacity: what to rent, keep, empty and give back.
-#include "heronshift/core.hpp"
+#include "heronshift/policies/capacity.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
 
-namespace heronshift {
+namespace heronshift::policies {
 namespace {
 
 constexpr double least_charged_s = 60; // a machine costs at least this, so it is not given back before
 constexpr double cheap_ratio = 1.5;    // of the lowest price a CPU second: such machines are always worth renting
 constexpr double window_used = 0.4;    // of the time an array has left, since estimates are often wrong by half
 constexpr double spare = 1.15;         // of what arrays need, kept
-constexpr double offered_leases = 3;   // lengths of a lease over which offered work is averaged
 constexpr double silent_reports = 1.5, dead_reports = 2.5; // intervals without a word
 constexpr double most_silent = 0.05;                       // of a zone's ordinary machines; beyond, it is a cut
 constexpr double spare_gangs = 0.25;                       // of the machines in use by gangs, kept free of gangs
 
-template <class V> bool allows(const std::vector<std::string>& list, const V& name) {
-    return list.empty() || std::find(list.begin(), list.end(), name) != list.end();
-}
-
 // How many tasks of one shape a machine takes.
 double fit_of(const Resources& each, const Resources& room) {
     double fit = room.cpus / each.cpus;
@@ -31,45 +26,22 @@
 
 } // namespace
 
-const MachineType* Core::type_of(const std::string& name) const {
-    for (const auto& t : types_)
-        if (t.name == name) return &t;
-    return nullptr;
-}
-
-// What counts as capacity: a machine that is up, heard of and not on its way out.
-bool Core::serves(const Machine& m) const {
-    return m.status == Status::up && !m.draining && !m.bad && !m.releasing && m.type >= 0 &&
-           now_ <= m.heard + 2 * s_.report_s;
-}
-
-// When a job should be complete, by its owner's deadline, by those that need it or by the aim of its
-// class; below zero: none.
-double Core::due_at(const Job& j) const {
-    double due = j.spec.deadline_s >= 0 ? j.submitted + j.spec.deadline_s : 1e18;
-    if (j.latest >= 0) due = std::min(due, j.latest);
-    if (j.spec.deadline_s < 0 && !j.waits)
-        for (const auto& o : s_.objectives)
-            if (o.kind == "finished" && o.job_class == j.spec.job_class) due = std::min(due, j.ready + o.within_s);
-    return due < 1e18 ? due : -1;
-}
-
 // The CPUs that arrays need to be in time: of all jobs due before some moment, the work left over the
 // time left, though never more than all their tasks at once.
-double Core::array_need() const {
+double Capacity::array_need() const {
     struct Due {
         double window, work, at_once;
     };
     std::vector<Due> list;
-    for (const auto& [id, j] : jobs_) {
+    for (const auto& [id, j] : v_.jobs) {
         if (j->spec.shape != Shape::array || j->final != Final::none || j->waits) continue;
-        const double each = j->spec.each.cpus, run = std::max(1.0, j->spec.estimate_s) * bias();
+        const double each = j->spec.each.cpus, run = std::max(1.0, j->spec.estimate_s) * v_.learned.bias();
         const double waiting = static_cast<double>(j->pending.size());
-        const double due = due_at(*j);
-        double window = due < 0 ? 10 * run : (due - now_ - run) * window_used;
+        const double due = v_.due_at(*j);
+        double window = due < 0 ? 10 * run : (due - v_.now - run) * window_used;
         if (j->guaranteed)
             for (const auto& o : s_.objectives)
-                if (o.kind == "guarantee") window = std::min(window, j->ready + o.within_s - now_);
+                if (o.kind == "guarantee") window = std::min(window, j->ready + o.within_s - v_.now);
         list.push_back({std::max(window, 1e-3), each * run * (waiting + 0.5 * j->live), each * (waiting + j->live)});
     }
     std::sort(list.begin(), list.end(), [](const Due& a, const Due& b) { return a.window < b.window; });
@@ -82,33 +54,20 @@
     return need;
 }
 
-// Work that arrays bring, averaged over a while: what is kept for those to come.
-void Core::offer(const Job& j) {
-    if (j.spec.shape != Shape::array) return;
-    const double over = average_s();
-    offered_ *= std::exp(-(now_ - offered_at_) / over);
-    offered_at_ = now_;
-    offered_ += work_left(j) / over * std::exp(-std::max(0.0, now_ - j.ready) / over);
-}
-
-double Core::average_s() const {
-    return offered_leases * s_.lease_s;
-}
-
-double Core::offered() const {
-    return offered_ * bias() * std::exp(-(now_ - offered_at_) / average_s());
+double Capacity::offered() const {
+    return v_.learned.offered * v_.learned.bias() * std::exp(-(v_.now - v_.learned.offered_at) / v_.average_s());
 }
 
-double Core::price_per_cpu(const MachineType& t, bool spot) {
+double Capacity::price_per_cpu(const MachineType& t, bool spot) {
     return (spot ? t.spot_price : t.price) / t.room.cpus;
 }
 
 // The cheapest kind of machine that a job's task may use and that may be had.
-std::string Core::cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear,
-                                  Pending& out) const {
+std::string Capacity::cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear,
+                                      Pending& out) const {
     double best = 1e18, lowest = 1e18;
     std::string key;
-    for (const auto& t : types_) {
+    for (const auto& t : v_.types) {
         if (!allows(j.spec.types, t.name) || !j.spec.each.fits(t.room)) continue;
         const double fit = fit_of(j.spec.each, t.room);
         for (const auto& z : t.zones)
@@ -118,14 +77,14 @@
                 const double each = (spot ? t.spot_price : t.price) / fit;
                 lowest = std::min(lowest, each);
                 const auto k = fmt::format("{}/{}/{}", t.name, z, spot);
-                const auto blocked = no_capacity_.find(k);
-                if (blocked != no_capacity_.end() && now_ < blocked->second) continue;
+                const auto blocked = v_.no_capacity.find(k);
+                if (blocked != v_.no_capacity.end() && v_.now < blocked->second) continue;
                 const auto crowd = in_zone.find(z);
                 const double cost = each * (1 + 0.001 * (crowd == in_zone.end() ? 0 : crowd->second));
                 if (cost < best) {
                     best = cost;
                     key = k;
-                    out = {t.name, z, spot, 0, now_, true};
+                    out = {t.name, z, spot, 0, v_.now, true};
                 }
             }
     }
@@ -136,8 +95,8 @@
 // What waits and finds no place on machines that are up, booting or asked for is rented for: one
 // request a round for each type, zone and kind. Dear machines are rented for arrays only as far as
 // these would be late otherwise.
-void Core::plan_capacity() {
-    if (types_.empty()) return;
+void Capacity::plan_capacity() {
+    if (v_.types.empty()) return;
     struct Coming {
         Resources free;
         const MachineType* type;
@@ -148,18 +107,18 @@
     std::map<std::string, int> in_zone;
     double have = 0; // CPUs that arrays have or will have
     int ready = 0;   // machines that a gang may have, if need be by taking the place of arrays
-    for (const auto& [id, m] : machines_) {
+    for (const auto& [id, m] : v_.machines) {
         if (m->status != Status::lost) ++in_zone[m->zone_name];
-        const auto* t = type_of(m->type_name);
-        if (m->status == Status::booting && t != nullptr && !m->releasing && now_ - m->known_since < 3 * t->boot_s)
+        const auto* t = v_.type_of(m->type_name);
+        if (m->status == Status::booting && t != nullptr && !m->releasing && v_.now - m->known_since < 3 * t->boot_s)
             coming.push_back({t->room, t, m->zone_name, m->spot});
-        if (!serves(*m) || m->retiring) continue;
+        if (!serves(v_, *m) || m->retiring) continue;
         have += m->whole.cpus - m->firm.cpus;
         ready += is_ready(*m);
     }
-    for (const auto& [claim, p] : rentals_) {
+    for (const auto& [claim, p] : v_.rentals) {
         in_zone[p.zone] += p.count;
-        if (const auto* t = type_of(p.type); t != nullptr)
+        if (const auto* t = v_.type_of(p.type); t != nullptr)
             for (int i = 0; i < p.count; ++i) coming.push_back({t->room, t, p.zone, p.spot});
     }
     for (const auto& c : coming) have += c.free.cpus;
@@ -193,14 +152,17 @@
             if (w.count >= most_rented) break;
             ++w.count;
             ++in_zone[source.zone];
-            const auto* t = type_of(source.type);
+            const auto* t = v_.type_of(source.type);
             have += t->room.cpus;
             coming.push_back({t->room, t, source.zone, source.spot});
         }
     };
+    auto shape = v_.common_shape;
+    const auto jobs = waiting_jobs(v_, shape);
+    out_.set_common_shape(shape);
     const Job* gang = nullptr;
-    for (auto* j : waiting_jobs()) {
-        int left = std::min(static_cast<int>(j->pending.size()), quota_room(*j));
+    for (const auto* j : jobs) {
+        int left = std::min(static_cast<int>(j->pending.size()), v_.quota_room(*j));
         if (j->spec.shape == Shape::gang && j->spec.each.gpus > 0) {
             const int n = std::min(left, ready);
             left -= n;
@@ -209,7 +171,7 @@
         source_for(*j, left);
     }
     // Machines that boot for longer than a gang may wait must be there before it comes.
-    for (const auto& [id, j] : jobs_)
+    for (const auto& [id, j] : v_.jobs)
         if (j->spec.shape == Shape::gang && j->spec.each.gpus > 0 && j->final == Final::none && !j->waits)
             gang = j.get();
     if (gang != nullptr) source_for(*gang, static_cast<int>(keep_ready_) - ready);
@@ -217,51 +179,43 @@
 }
 
 // A machine that a gang may have: without a gang, whatever else runs there.
-bool Core::is_ready(const Machine& m) {
+bool Capacity::is_ready(const Machine& m) {
     return m.whole.gpus > 0 && !m.spot && m.firm.gpus <= 0;
 }
 
 // The fullest machine on its way out that can take a task of the job is kept after all.
-Core::Machine* Core::keep_again(const Job& j) {
-    Machine* best = nullptr;
-    for (auto& [id, m] : machines_) {
+const Machine* Capacity::keep_again(const Job& j) {
+    const Machine* best = nullptr;
+    for (const auto& [id, m] : v_.machines) {
         if (!m->retiring || m->releasing) continue;
-        m->retiring = false;
         const bool gang = j.spec.shape == Shape::gang;
-        const bool good = usable(*m, j) && j.spec.each.fits(m->whole - (gang ? m->firm : m->used));
-        m->retiring = true;
+        const bool good = usable(v_, *m, j, true) && j.spec.each.fits(m->whole - (gang ? m->firm : m->used));
         if (good && (best == nullptr || m->used.cpus > best->used.cpus)) best = m.get();
     }
-    if (best != nullptr) {
-        best->retiring = false;
-        dirty_ = true;
-    }
+    if (best != nullptr) out_.retire(*best, false);
     return best;
 }
 
-void Core::queue_rentals(std::map<std::string, Pending>& wanted) {
+void Capacity::queue_rentals(std::map<std::string, Pending>& wanted) {
     for (auto& [key, w] : wanted) {
-        const bool busy = std::any_of(rentals_.begin(), rentals_.end(), [&](const auto& r) {
+        const bool busy = std::any_of(v_.rentals.begin(), v_.rentals.end(), [&](const auto& r) {
             return r.second.type == w.type && r.second.zone == w.zone && r.second.spot == w.spot;
         });
         if (busy) continue;
-        // The term makes the name unique among all holders there ever were.
-        const auto claim = fmt::format("r-{}-{}", term_, ++claim_seq_);
-        rentals_[claim] = w;
-        effects_.push_back(Rent{claim, w.type, w.zone, w.spot, w.count});
+        out_.rent(w);
     }
 }
 
 // What the cluster has beyond its need is emptied, the dearest first: such a machine takes no new
 // work, its arrays end by themselves and its replicas move, a few a round.
-void Core::plan_shrink() {
+void Capacity::plan_shrink() {
     // A new holder first hears what runs where, and what comes.
-    if (term_ > 1 && now_ - started_ < s_.lease_s) return;
+    if (v_.term > 1 && v_.now - v_.started < s_.lease_s) return;
     double have = 0, need = 0, largest_gang = 0, gang_machines = 0, ready = 0;
-    std::vector<Machine*> list;
+    std::vector<const Machine*> list;
     std::unordered_map<const Machine*, double> lasting;
-    for (auto& [id, m] : machines_) {
-        if (!serves(*m) || m->retiring) continue;
+    for (const auto& [id, m] : v_.machines) {
+        if (!serves(v_, *m) || m->retiring) continue;
         double services = 0, gangs = 0;
         for (const auto& e : m->entries) {
             if (e->job->spec.shape == Shape::service) services += e->job->spec.each.cpus;
@@ -274,24 +228,25 @@
         need += services + gangs;
         gang_machines += gangs > 0;
         ready += is_ready(*m);
-        if (m->pool) need += service_shape_.cpus * 2; // what usable() leaves free there
+        if (m->pool) need += v_.service_shape.cpus * 2; // what usable(v_, ) leaves free there
         lasting[m.get()] = services;
-        const bool paid = now_ - m->known_since < least_charged_s;
-        if (!m->pool && gangs <= 0 && !paid && (m->reserved_for == nullptr || now_ >= m->reserved_until))
+        const bool paid = v_.now - m->known_since < least_charged_s;
+        if (!m->pool && gangs <= 0 && !paid && (m->reserved_for == nullptr || v_.now >= m->reserved_until))
             list.push_back(m.get());
     }
-    for (const auto& [id, j] : jobs_) {
+    for (const auto& [id, j] : v_.jobs) {
         if (j->final != Final::none || j->pending.empty()) continue;
         if (j->spec.shape != Shape::array) need += j->spec.each.cpus * static_cast<double>(j->pending.size());
         if (j->spec.shape == Shape::gang) largest_gang = std::max(largest_gang, static_cast<double>(j->spec.tasks));
     }
     const double arrays = std::max(array_need(), offered());
-    note(0, fmt::format("capacity: {:.0f} CPUs, {:.0f} for services and gangs, arrays need {:.0f} and bring {:.0f}",
-                        have, need, array_need(), offered()));
+    out_.note(0,
+              fmt::format("capacity: {:.0f} CPUs, {:.0f} for services and gangs, arrays need {:.0f} and bring {:.0f}",
+                          have, need, array_need(), offered()));
     need += arrays * spare;
     std::sort(list.begin(), list.end(), [&](const Machine* a, const Machine* b) {
-        const double pa = price_per_cpu(types_[static_cast<std::size_t>(a->type)], a->spot);
-        const double pb = price_per_cpu(types_[static_cast<std::size_t>(b->type)], b->spot);
+        const double pa = price_per_cpu(v_.types[static_cast<std::size_t>(a->type)], a->spot);
+        const double pb = price_per_cpu(v_.types[static_cast<std::size_t>(b->type)], b->spot);
         if (pa != pb) return pa > pb;
         if (lasting[a] != lasting[b]) return lasting[a] < lasting[b];
         if (a->used.cpus != b->used.cpus) return a->used.cpus < b->used.cpus;
@@ -305,105 +260,88 @@
             --ready;
         }
         have -= m->whole.cpus;
-        m->retiring = true;
-        note(0, fmt::format("machine {} is to become empty, {:.0f} of its CPUs in use", m->id, m->used.cpus));
+        out_.retire(*m, true);
+        out_.note(0, fmt::format("machine {} is to become empty, {:.0f} of its CPUs in use", m->id, m->used.cpus));
     }
 }
 
 // A spot machine that falls silent has mostly been taken without notice. Given back it is surely gone
 // and its tasks start elsewhere at once, long before its lease would have run out. Not so where
 // ordinary machines of the zone are silent too: that is a cut, and behind it work goes on.
-void Core::watch_silent() {
-    if (now_ < next_silent_) return;
-    next_silent_ = now_ + s_.report_s / 6;
+void Capacity::watch_silent() {
+    if (v_.now < next_silent_) return;
+    next_silent_ = v_.now + s_.report_s / 6;
     struct Zone {
         double up = 0, silent = 0;
     };
     std::map<std::pair<int, bool>, Zone> zones;
-    spot_machines_ = 0;
-    std::vector<Machine*> silent;
-    for (auto& [id, m] : machines_) {
+    std::size_t spot_up = 0;
+    std::vector<const Machine*> silent;
+    for (const auto& [id, m] : v_.machines) {
         if (m->status != Status::up || m->releasing) continue;
-        spot_machines_ += m->spot;
-        const double since = now_ - std::max({m->heard, started_, m->known_since});
+        spot_up += m->spot;
+        const double since = v_.now - std::max({m->heard, v_.started, m->known_since});
         const bool unlisted = m->type < 0; // known from records only: mostly gone before we took office
         auto& z = zones[{m->zone, m->spot}];
         if (!unlisted) ++z.up;
         if (since < silent_reports * s_.report_s) continue;
         if (!unlisted) ++z.silent;
         silent.push_back(m.get());
-        if (now_ - m->asked_at < s_.report_s || m->batch != 0) continue;
-        m->asked_at = now_;
-        to_ask_.push_back(id);
+        if (v_.now - m->asked_at < s_.report_s || m->batch != 0) continue;
+        out_.ask(*m);
     }
-    for (auto* m : silent) {
-        if (m->type < 0 && !asked_all_) continue;
+    out_.count_spot(spot_up);
+    for (const auto* m : silent) {
+        if (m->type < 0 && !v_.asked_all) continue;
         if ((!m->spot && m->type >= 0) ||
-            now_ - std::max({m->heard, started_, m->known_since}) < dead_reports * s_.report_s)
+            v_.now - std::max({m->heard, v_.started, m->known_since}) < dead_reports * s_.report_s)
             continue;
         const auto& ordinary = zones[{m->zone, false}];
         const auto& spot = zones[{m->zone, true}];
-        const bool taken = m->draining && now_ > m->notice_until;
+        const bool taken = m->draining && v_.now > m->notice_until;
         if (!taken && (ordinary.silent > 1 + most_silent * ordinary.up || spot.silent > 1 + spot.up / 2)) continue;
-        m->presumed_dead = true;
+        out_.presume_dead(*m);
     }
 }
 
-void Core::note_spot_loss() {
-    const double over = average_s();
-    spot_losses_ = spot_losses_ * std::exp(-(now_ - spot_losses_at_) / over) + 1;
-    spot_losses_at_ = now_;
-}
-
-double Core::spot_loss_rate() const {
-    const double over = average_s();
-    if (spot_machines_ == 0) return 0;
-    return spot_losses_ * std::exp(-(now_ - spot_losses_at_) / over) / over / static_cast<double>(spot_machines_);
-}
-
-void Core::return_machines() {
-    Release out;
-    for (auto& [id, mp] : machines_) {
-        auto& m = *mp;
-        if (out.machines.size() >= most_returned) break;
-        if (m.release_asked || now_ < m.release_retry) continue;
-        const auto* t = m.type >= 0 ? &types_[static_cast<std::size_t>(m.type)] : nullptr;
+void Capacity::return_machines() {
+    std::vector<std::string> out;
+    for (const auto& [id, mp] : v_.machines) {
+        const auto& m = *mp;
+        if (out.size() >= most_returned) break;
+        if (m.release_asked || v_.now < m.release_retry) continue;
+        const auto* t = m.type >= 0 ? &v_.types[static_cast<std::size_t>(m.type)] : nullptr;
         const double boot = t != nullptr ? t->boot_s : s_.lease_s;
         bool give_back = m.releasing;
-        if (m.status == Status::booting && now_ - m.known_since > 5 * boot + s_.lease_s) give_back = true;
-        if (m.status == Status::lost && m.entries.empty() && (m.bad || now_ - m.last_seen > 2 * s_.lease_s))
+        if (m.status == Status::booting && v_.now - m.known_since > 5 * boot + s_.lease_s) give_back = true;
+        if (m.status == Status::lost && m.entries.empty() && (m.bad || v_.now - m.last_seen > 2 * s_.lease_s))
             give_back = true;
         if (m.bad && m.status == Status::up) {
-            for (auto& e : m.entries) stop_entry(*e, e->job->spec.checkpoint_s > 0 ? e->job->spec.save_s + 1 : 0);
+            for (auto& e : m.entries) out_.stop(*e, e->job->spec.checkpoint_s > 0 ? e->job->spec.save_s + 1 : 0);
             if (m.entries.empty()) give_back = true;
         }
-        const bool unwanted = m.retiring || (s_.ops.empty_s > 0 && now_ - m.empty_since > s_.ops.empty_s);
+        const bool unwanted = m.retiring || (s_.ops.empty_s > 0 && v_.now - m.empty_since > s_.ops.empty_s);
         if (m.status == Status::up && m.entries.empty() && !m.draining && m.empty_since >= 0 && unwanted &&
-            now_ - started_ > s_.report_s && m.batch == 0)
+            v_.now - v_.started > s_.report_s && m.batch == 0)
             give_back = true;
         if (m.presumed_dead) give_back = true;
         if (!give_back || (!m.entries.empty() && !m.presumed_dead)) continue;
-        m.releasing = m.release_asked = true;
-        if (m.presumed_dead) {
-            note_spot_loss();
-            note(1, fmt::format("spot machine {} is silent, {} tasks start elsewhere once it is surely gone", id,
-                                m.entries.size()));
-        }
-        out.machines.push_back(id);
+        out_.give_back(m);
+        out.push_back(id);
     }
-    if (out.machines.empty()) return;
-    note(1, fmt::format("returning {} machines, {} first", out.machines.size(), out.machines.front()));
-    effects_.emplace_back(std::move(out));
+    if (out.empty()) return;
+    out_.note(1, fmt::format("returning {} machines, {} first", out.size(), out.front()));
+    out_.release(std::move(out));
 }
 
 // One line a kind of machine, for operators who watch the fleet.
-void Core::note_fleet() {
+void Capacity::note_fleet() {
     struct Sum {
         int up = 0, booting = 0, pool = 0, empty = 0;
         double room = 0, services = 0, gangs = 0, arrays = 0;
     };
     std::map<std::string, Sum> kinds;
-    for (const auto& [id, m] : machines_) {
+    for (const auto& [id, m] : v_.machines) {
         auto& s = kinds[m->type_name + (m->spot ? " (spot)" : "")];
         s.booting += m->status == Status::booting;
         if (m->status != Status::up) continue;
@@ -417,22 +355,22 @@
                                                   : s.arrays) += e->job->spec.each.cpus;
     }
     for (const auto& [kind, s] : kinds)
-        note(0,
-             fmt::format("fleet: {}: {} up ({} pool, {} empty), {} booting, of {:.0f} CPUs {:.0f} in services, {:.0f} "
+        out_.note(0, fmt::format(
+                         "fleet: {}: {} up ({} pool, {} empty), {} booting, of {:.0f} CPUs {:.0f} in services, {:.0f} "
                          "in gangs, {:.0f} in arrays",
                          kind, s.up, s.pool, s.empty, s.booting, s.room, s.services, s.gangs, s.arrays));
     std::map<Phase, std::size_t> phases;
-    for (const auto& [id, m] : machines_)
+    for (const auto& [id, m] : v_.machines)
         for (const auto& e : m->entries) ++phases[e->phase];
-    note(0,
-         fmt::format("tasks: {} placed, {} being stored, {} to be sent, {} sent, {} fetching, {} waiting, {} running",
-                     phases[Phase::intent], phases[Phase::storing], phases[Phase::stored], phases[Phase::sent],
-                     phases[Phase::fetching], phases[Phase::waiting], phases[Phase::running]));
+    out_.note(
+        0, fmt::format("tasks: {} placed, {} being stored, {} to be sent, {} sent, {} fetching, {} waiting, {} running",
+                       phases[Phase::intent], phases[Phase::storing], phases[Phase::stored], phases[Phase::sent],
+                       phases[Phase::fetching], phases[Phase::waiting], phases[Phase::running]));
     std::map<Rank, std::size_t> waiting;
-    for (const auto& [id, j] : jobs_)
+    for (const auto& [id, j] : v_.jobs)
         if (j->final == Final::none) waiting[j->rank] += j->pending.size();
     for (const auto& [rank, n] : waiting)
-        note(0, fmt::format("waiting: {} tasks of rank {}", n, static_cast<int>(rank)));
+        out_.note(0, fmt::format("waiting: {} tasks of rank {}", n, static_cast<int>(rank)));
 }
 
-} // namespace heronshift
+} // namespace heronshift::policies
--- /dev/null
+++ b/src/policies/common.cpp
@@ -0,0 +1,116 @@
+#include "heronshift/policies/common.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+
+namespace heronshift::policies {
+namespace {
+
+constexpr double tight_loss_s = 100; // what the loss of a task weighs if its job would be late by it
+constexpr double late_start = 15;    // cost of a place where the start is too late for the aim of its class
+
+} // namespace
+
+bool usable(const State& v, const Machine& m, const Job& j, bool also_retiring) {
+    const auto& s = v.settings;
+    if (m.status != Status::up || m.draining || m.bad || m.releasing || (m.retiring && !also_retiring) || m.type < 0 ||
+        m.zone < 0)
+        return false;
+    if (v.now < m.avoid_until || v.now > m.heard + 1.5 * s.report_s) return false;
+    if (v.now < m.slow_until && j.spec.shape != Shape::service) return false; // replicas have no speed
+    if (m.reserved_for != nullptr && m.reserved_for != &j && v.now < m.reserved_until && j.rank >= m.reserved_rank)
+        return false;
+    const auto& spec = j.spec;
+    // On the pool, room for the next replica stays free: making it would cost that replica's aim.
+    if (m.pool && spec.shape != Shape::service && !(spec.each + v.service_shape * 2).fits(m.whole - m.used))
+        return false;
+    return v.allowed_there(j, m);
+}
+
+// In seconds of delay or their like; fragmentation (below 1) is the tie-break on top.
+double placement_cost(const State& v, const Machine& m, const Job& j) {
+    const auto& s = v.settings;
+    const auto& t = v.types[static_cast<std::size_t>(m.type)];
+    double cost = 0;
+    bool coming = false, ready = false;
+    double others = 0; // being fetched at the same time, which share the rate
+    for (const auto& c : m.images) {
+        const double gb = v.image_gb[static_cast<std::size_t>(c.image)];
+        const bool under_way = !c.ready && v.now - c.used < 2 * gb / t.fetch_gb_per_s;
+        if (c.image == j.image) {
+            ready = c.ready;
+            coming = under_way;
+        } else if (under_way) {
+            others += gb / t.fetch_gb_per_s;
+        }
+    }
+    if (!ready) {
+        const double fetch = j.spec.image_gb / t.fetch_gb_per_s * (coming ? 0.5 : 1);
+        cost += fetch + others;
+        if (j.start_within_s >= 0 && fetch > j.start_within_s) cost += late_start;
+    }
+    if (j.spec.spot && !m.spot) cost += 2;
+    if (m.spot) {
+        // What a loss costs: a lease until it is known, and the run once more. A job that would be
+        // late by that keeps off spot machines on days when many are taken; so does one that others
+        // wait for, since each of its tasks may hold them all up.
+        const double run = std::max(1.0, j.spec.estimate_s) * v.learned.bias();
+        const double due = v.due_at(j);
+        const bool tight = j.latest >= 0 || (due >= 0 && due - v.now < 2 * run + s.lease_s);
+        cost += spot_loss_rate(v) * run * (tight ? tight_loss_s : s.lease_s);
+    }
+    const bool lasting = j.spec.shape == Shape::service;
+    if (lasting != m.pool) cost += lasting ? 15 : 4;
+    if (j.spec.each.gpus <= 0 && t.room.gpus > 0) cost += 20; // accelerators are for those who need them
+    // Full machines first, so that others become empty and can be returned; but replicas evenly over
+    // the pool, which stays: the loss of a machine or a zone then takes fewer of them, and what
+    // remains has room for them and their images.
+    if (lasting && m.pool)
+        cost += 2 * m.firm.cpus / std::max(1.0, m.whole.cpus);
+    else
+        cost += 2 * (m.whole.cpus - m.used.cpus) / std::max(1.0, m.whole.cpus);
+    return cost;
+}
+
+std::vector<const Job*> waiting_jobs(const State& v, Resources& shape) {
+    std::vector<const Job*> out;
+    double most = 0;
+    for (const auto& [id, j] : v.jobs) {
+        if (j->final != Final::none || j->pending.empty() || v.now < j->not_before) continue;
+        out.push_back(j.get());
+        const double weight = static_cast<double>(j->pending.size());
+        if (weight > most) {
+            most = weight;
+            shape = j->spec.each;
+        }
+    }
+    // Among equals the job with the least work left goes first, since that brings the most jobs home
+    // in time; having waited counts against it, so that large ones get their turn.
+    std::unordered_map<const Job*, double> key;
+    for (const auto* j : out) key[j] = v.work_left(*j) / (std::max(1.0, j->spec.estimate_s) + v.now - j->ready);
+    std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
+        // What may take the place of others goes first, or it would stop them and lose the room.
+        if (a->rank != b->rank) return a->rank < b->rank;
+        if (a->guaranteed != b->guaranteed) return a->guaranteed;
+        const double ka = key[a], kb = key[b];
+        if (ka != kb) return ka < kb;
+        if (a->ready != b->ready) return a->ready < b->ready;
+        return a->spec.id < b->spec.id;
+    });
+    return out;
+}
+
+bool serves(const State& v, const Machine& m) {
+    return m.status == Status::up && !m.draining && !m.bad && !m.releasing && m.type >= 0 &&
+           v.now <= m.heard + 2 * v.settings.report_s;
+}
+
+double spot_loss_rate(const State& v) {
+    if (v.spot_machines == 0) return 0;
+    const double over = v.average_s();
+    return v.learned.spot_losses * std::exp(-(v.now - v.learned.spot_losses_at) / over) / over /
+           static_cast<double>(v.spot_machines);
+}
+
+} // namespace heronshift::policies
--- a/src/placement.cpp
+++ b/src/policies/matching.cpp
@@ -1,4 +1,4 @@
-#include "heronshift/placement.hpp"
+#include "heronshift/policies/matching.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/intents.cpp
+++ b/src/records/intents.cpp
@@ -1,4 +1,4 @@
-#include "heronshift/intents.hpp"
+#include "heronshift/records/intents.hpp"
 
 #include "heronshift/codec.hpp"
 
--- a/src/records.cpp
+++ b/src/records/records.cpp
@@ -1,5 +1,5 @@
 // What the store holds of the core's state: read whole at a takeover, written a little each round.
-#include "heronshift/core.hpp"
+#include "heronshift/records/records.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -7,8 +7,16 @@
 #include <utility>
 
 namespace heronshift {
+
+using ledger::fence_bits;
+using ledger::Final;
+using ledger::Phase;
+using ledger::Status;
+
 namespace {
 
+constexpr double record_share = 0.92; // of the longest value, the rest is for names and quoting
+
 constexpr std::size_t first_slots = 32; // the ring grows when its records fill up
 constexpr std::size_t progress_records = 64;
 constexpr double progress_share = 0.15;                 // of the store's changes, at the most
@@ -44,14 +52,14 @@
 } // namespace
 
 // FNV-1a: every holder must find a job in the same record.
-std::size_t Core::bucket_of(const std::string& id) {
+std::size_t Records::bucket_of(const std::string& id) {
     std::uint64_t h = 14695981039346656037U;
     for (const char c : id) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211U;
     return h % progress_records;
 }
 
 // One transaction being put together, most urgent first.
-struct Core::Draft {
+struct Records::Draft {
     Commit commit;
     std::size_t most = 0, bytes = 0;
     [[nodiscard]] bool full(std::size_t more) const {
@@ -63,7 +71,52 @@
     }
 };
 
-void Core::load(const Snapshot& stored, double wall) {
+Records::Records(ledger::Ledger& ledger, const Settings& settings, const Snapshot& stored, double wall,
+                 std::vector<Effect>& out)
+    : l_(ledger), s_(settings), out_(out), write_tokens_(settings.txn_ops), tokens_at_(ledger.view().now),
+      most_value_(static_cast<std::size_t>(settings.value_kb * 1024 * record_share)),
+      most_ops_(static_cast<std::size_t>(settings.txn_ops)) {
+    l_.keep(*this);
+    load(stored, wall);
+}
+
+void Records::added(Job& j) {
+    j.bucket = bucket_of(j.spec.id);
+}
+
+void Records::added(Entry& e) {
+    put_in_slot(e, -1);
+}
+
+void Records::removed(Entry& e) {
+    leave_slot(e);
+    if (e.slot >= 0) ++ring_[static_cast<std::size_t>(e.slot)].stale;
+    if (e.carried_from >= 0) ++ring_[static_cast<std::size_t>(e.carried_from)].stale;
+}
+
+void Records::final_due(Job& j, Urgency u) {
+    if (j.final_queued) return;
+    j.final_queued = true;
+    if (u == Urgency::taken_along)
+        taken_along_.push_back(&j);
+    else if (u == Urgency::cancelled)
+        finals_.push_front(&j);
+    else
+        finals_.push_back(&j);
+}
+
+void Records::progressed(Job& j) {
+    auto& b = buckets_[j.bucket];
+    if (b.dirty) return;
+    b.dirty = true;
+    b.since = l_.view().now;
+}
+
+void Records::became_ready(Job& j) {
+    readies_.push_back(&j);
+}
+
+void Records::load(const Snapshot& stored, double wall) {
     ring_.resize(first_slots);
     buckets_.resize(progress_records);
     for (const auto& i : stored.jobs) {
@@ -71,8 +124,8 @@
         if (!r) continue;
         const auto id = r->spec.id;
         auto c = job_stored(std::move(*r), wall);
-        handle(c);
-        if (auto* j = find_job(id); j != nullptr && !r->final.empty()) {
+        l_.add_job(c);
+        if (auto* j = l_.find_job(id); j != nullptr && !r->final.empty()) {
             j->final = r->final == codec::status_done ? Final::done : Final::cancelled;
             j->final_stored = true;
         }
@@ -83,7 +136,7 @@
         // what was done stays done.
         if (!i.value.is_object()) continue;
         for (const auto& [id, ranges] : i.value.items())
-            if (auto* j = find_job(id); j != nullptr && ranges.is_string()) load_done(*j, ranges.get<std::string>());
+            if (auto* j = l_.find_job(id); j != nullptr && ranges.is_string()) load_done(*j, ranges.get<std::string>());
     }
     for (const auto& i : stored.intents) {
         const auto n = number_of(i.key);
@@ -107,7 +160,7 @@
     }
     load_earlier(stored);
     for (const auto& i : stored.learned) load_learned(i, wall);
-    for (auto& [id, j] : jobs_) {
+    for (auto& [id, j] : l_.st_.jobs) {
         // What runs or is done does not wait: on a day with many takeovers machines were rented for it.
         std::erase_if(j->pending, [&](std::uint32_t i) {
             auto& t = j->tasks[i];
@@ -116,21 +169,18 @@
             return true;
         });
         if (j->spec.shape == Shape::gang && j->live > 0) {
-            for (const auto* e : j->entries) j->gang_try = std::max(j->gang_try, e->try_no);
-            if (j->live < j->spec.tasks - j->done) break_gang(*j);
+            for (const auto& e : j->entries) j->gang_try = std::max(j->gang_try, e->try_no);
+            if (j->live < j->spec.tasks - j->done) l_.break_gang(*j);
         }
-        if (j->final == Final::none && j->done == j->spec.tasks) finalize(*j, Final::done);
+        if (j->final == Final::none && j->done == j->spec.tasks) l_.finalize(*j, Final::done);
         if (j->final == Final::none) continue;
-        for (auto* e : j->entries) stop_entry(*e, 0);
-        if (j->live == 0 && !j->final_queued) {
-            j->final_queued = true;
-            finals_.push_back(j.get());
-        }
+        for (auto& e : j->entries) l_.stop_entry(*e, 0);
+        if (j->live == 0) final_due(*j, Urgency::done);
     }
-    dirty_ = true;
+    l_.dirty_ = true;
 }
 
-void Core::load_done(Job& j, std::string_view ranges) {
+void Records::load_done(Job& j, std::string_view ranges) {
     intents::each_in_ranges(ranges, [&](std::uint32_t k) {
         if (k >= j.tasks.size() || j.tasks[k].done) return;
         j.tasks[k].done = j.tasks[k].stored = true;
@@ -139,24 +189,24 @@
     });
 }
 
-void Core::load_intent(const intents::Intent& i, int slot) {
-    auto* j = find_job(i.job);
+void Records::load_intent(const intents::Intent& i, int slot) {
+    auto* j = l_.find_job(i.job);
     // The record of a job goes only when none of its tasks is left anywhere.
     if (j == nullptr || i.index >= j->tasks.size()) return;
-    auto& m = learn_machine(i.machine, "", "", i.zone, false);
+    auto& m = l_.learn_machine(i.machine, "", "", i.zone, false);
     m.tenure = std::max(m.tenure, i.tenure);
     // Whoever was entitled before us may have answered this machine until the moment we took
     // office, so its lease counts from there.
-    m.last_seen = now_;
+    m.last_seen = l_.st_.now;
     m.status = Status::up;
     for (const auto& e : m.entries)
         if (e->job == j && e->index == i.index && e->try_no == i.try_no) return;
-    auto& e = add_entry(m, *j, i.index, i.try_no);
+    auto& e = l_.add_entry(m, *j, i.index, i.try_no);
     e.phase = Phase::sent;
     e.recorded = slot >= 0;
     // Only a report that has seen our own term proves anything: one from before the launch
     // may arrive late, and we have no count of this machine's to tell.
-    e.fence = (term_ << fence_bits) - 1;
+    e.fence = (l_.st_.term << fence_bits) - 1;
     e.tenure = i.tenure;
     leave_slot(e);
     put_in_slot(e, slot);
@@ -164,24 +214,24 @@
 
 // A record that cannot be read may have named any task there was. The machine's own word under our
 // term, or its lapsed lease, ends the doubt; where not even its name is known, only time does.
-void Core::hold_unproven(const std::string& machine) {
+void Records::hold_unproven(const std::string& machine) {
     note(2, fmt::format("a damaged record{}{}", machine.empty() ? "" : " of machine ", machine));
-    unproven_until_ = now_ + lease_surely_s();
-    unproven_.insert(machine);
+    l_.st_.unproven_until = l_.st_.now + l_.lease_surely_s();
+    l_.st_.unproven_machines.insert(machine);
     if (machine.empty()) return;
-    auto& m = learn_machine(machine, "", "", "", false);
-    m.last_seen = now_;
+    auto& m = l_.learn_machine(machine, "", "", "", false);
+    m.last_seen = l_.st_.now;
     m.status = Status::up;
 }
 
 // The layout before this one: "m/ID" named what is on a machine, "d/ID" what is done of a job.
-void Core::load_earlier(const Snapshot& stored) {
+void Records::load_earlier(const Snapshot& stored) {
     for (const auto& i : stored.earlier) {
         gone_records_.push_back(i.key);
         const auto id = i.key.substr(2);
         const auto& v = i.value;
         if (i.key.starts_with("d/")) {
-            auto* j = find_job(id);
+            auto* j = l_.find_job(id);
             if (j == nullptr || !v.is_object()) continue;
             load_done(*j, v.value("done", std::string()));
             const auto f = v.value("final", std::string());
@@ -210,14 +260,14 @@
     }
 }
 
-void Core::put_in_slot(Entry& e, int slot) {
+void Records::put_in_slot(Entry& e, int slot) {
     auto& list = slot < 0 ? unrecorded_ : ring_[static_cast<std::size_t>(slot)].entries;
     e.slot = slot;
     e.at_slot = list.size();
     list.push_back(&e);
 }
 
-void Core::leave_slot(Entry& e) {
+void Records::leave_slot(Entry& e) {
     auto& list = e.slot < 0 ? unrecorded_ : ring_[static_cast<std::size_t>(e.slot)].entries;
     list[e.at_slot] = list.back();
     list[e.at_slot]->at_slot = e.at_slot;
@@ -230,7 +280,7 @@
 
 // A final state is told only once it is stored. The job's record goes when none of its tasks is
 // left on any machine; until then it names the final state, so that no later holder starts any.
-void Core::draft_finals(Draft& d) {
+void Records::draft_finals(Draft& d) {
     auto& f = in_flight_;
     // Placements must not starve: where a transaction takes few changes, they get some of every other.
     const std::size_t keep =
@@ -248,8 +298,8 @@
             f.moves.emplace_back(j, j->final);
         } else if (!j->final_stored) {
             d.add("j/" + j->spec.id,
-                  codec::to_record(
-                      {codec::remains_of(j->spec), wall_ - (now_ - j->submitted), -1, false, std::string(status)}),
+                  codec::to_record({codec::remains_of(j->spec), l_.st_.wall - (l_.st_.now - j->submitted), -1, false,
+                                    std::string(status)}),
                   300);
             f.finals.emplace_back(j, j->final);
         }
@@ -258,7 +308,7 @@
 
 // The record of a job that has become ready loses its chain: from then on any holder, of whatever
 // version, may run it. It goes before the job's first placements, or with them.
-void Core::draft_ready(Draft& d) {
+void Records::draft_ready(Draft& d) {
     while (!readies_.empty() && !d.full(1)) {
         auto* j = readies_.front();
         readies_.pop_front();
@@ -266,13 +316,15 @@
         auto spec = j->spec;
         spec.needs.clear();
         d.add("j/" + spec.id,
-              codec::to_record({spec, wall_ - (now_ - j->submitted), wall_ - (now_ - j->ready), false, {}}), 600);
+              codec::to_record(
+                  {spec, l_.st_.wall - (l_.st_.now - j->submitted), l_.st_.wall - (l_.st_.now - j->ready), false, {}}),
+              600);
         j->dated = true;
         in_flight_.readies.push_back(j);
     }
 }
 
-std::string Core::slot_text(std::vector<Entry*> list) {
+std::string Records::slot_text(std::vector<Entry*> list) {
     const auto zone_matters = [](const Entry* e) { return e->job->spec.spread || e->job->spec.one_zone; };
     std::sort(list.begin(), list.end(), [&](const Entry* a, const Entry* b) {
         if (a->machine != b->machine) return a->machine->id < b->machine->id;
@@ -291,14 +343,14 @@
 }
 
 // A placement is not stored before its job's record says that the job no longer waits.
-bool Core::may_record(const Entry& e) {
+bool Records::may_record(const Entry& e) {
     return e.job->dated || e.job->final != Final::none;
 }
 
 // Writes one record of the ring: what is still live of it and, room permitting, new placements and
 // what is carried on from a record that was written when the store took longer values. Until that
 // has succeeded the long record names it too, so that nothing live is ever missing from the store.
-bool Core::draft_slot(Draft& d, std::size_t slot) {
+bool Records::draft_slot(Draft& d, std::size_t slot) {
     auto& list = ring_[slot].entries;
     auto text = slot_text(list);
     if (text.size() > most_value_) {
@@ -341,7 +393,7 @@
     return true;
 }
 
-void Core::draft_intents(Draft& d) {
+void Records::draft_intents(Draft& d) {
     auto advance = [&] { next_slot_ = (next_slot_ + 1) % ring_.size(); };
     auto more = [&] {
         return std::any_of(unrecorded_.begin(), unrecorded_.end(), [](const Entry* e) { return may_record(*e); });
@@ -374,12 +426,12 @@
         if (!draft_slot(d, best)) break;
     }
     // Records that name what is long gone would keep its place after a takeover.
-    if (now_ < next_idle_write_ || d.full(most_ops_ / 2) || more()) return;
+    if (l_.st_.now < next_idle_write_ || d.full(most_ops_ / 2) || more()) return;
     for (std::size_t n = 0; n < ring_.size(); ++n, advance()) {
         if (ring_[next_slot_].stale == 0 && too_long_ < 0) continue;
         if (std::find(in_flight_.slots.begin(), in_flight_.slots.end(), next_slot_) != in_flight_.slots.end()) continue;
         if (!draft_slot(d, next_slot_)) continue;
-        next_idle_write_ = now_ + s_.report_s / 10;
+        next_idle_write_ = l_.st_.now + s_.report_s / 10;
         advance();
         return;
     }
@@ -387,13 +439,13 @@
 
 // Progress gathers for a while: losing it costs only an image fetch, since a finished task that is
 // started again ends at once.
-void Core::draft_progress(Draft& d) {
+void Records::draft_progress(Draft& d) {
     const double gather =
         std::max(s_.report_s, static_cast<double>(progress_records) / (progress_share * s_.state_write_rps));
     for (std::size_t b = 0; b < buckets_.size() && !d.full(1); ++b) {
-        if (!buckets_[b].dirty || now_ - buckets_[b].since < gather) continue;
+        if (!buckets_[b].dirty || l_.st_.now - buckets_[b].since < gather) continue;
         std::vector<Job*> jobs;
-        for (auto& [id, j] : jobs_)
+        for (auto& [id, j] : l_.st_.jobs)
             if (j->bucket == b && j->final == Final::none && j->done > 0) jobs.push_back(j.get());
         const auto most = most_value_ / std::max<std::size_t>(1, jobs.size());
         auto value = codec::Json::object();
@@ -416,17 +468,17 @@
 
 // Which machine has which image is a hint that spares the next holder fetches; it is written now and
 // then, a part of the machines at a time, each with the names it needs.
-void Core::draft_images(Draft& d) {
-    if (now_ < next_images_ || machines_.empty() || d.full(most_ops_ / 2)) return;
-    next_images_ = now_ + 2 * s_.report_s;
-    std::vector<const std::string*> by_id(image_gb_.size());
-    for (const auto& [name, id] : image_ids_) by_id[static_cast<std::size_t>(id)] = &name;
+void Records::draft_images(Draft& d) {
+    if (l_.st_.now < next_images_ || l_.st_.machines.empty() || d.full(most_ops_ / 2)) return;
+    next_images_ = l_.st_.now + 2 * s_.report_s;
+    std::vector<const std::string*> by_id(l_.st_.image_gb.size());
+    for (const auto& [name, id] : l_.image_ids_) by_id[static_cast<std::size_t>(id)] = &name;
     std::unordered_map<int, std::size_t> place;
     auto names = codec::Json::array();
     auto held = codec::Json::object();
     std::size_t size = 40;
-    auto it = image_part_ == 0 ? machines_.begin() : machines_.upper_bound(images_after_);
-    for (; it != machines_.end(); ++it) {
+    auto it = image_part_ == 0 ? l_.st_.machines.begin() : l_.st_.machines.upper_bound(images_after_);
+    for (; it != l_.st_.machines.end(); ++it) {
         const auto& m = *it->second;
         std::size_t more = m.id.size() + 8;
         for (const auto& c : m.images)
@@ -439,7 +491,7 @@
             if (!c.ready) continue;
             const auto [at, fresh] = place.emplace(c.image, names.size());
             const auto i = static_cast<std::size_t>(c.image);
-            if (fresh) names.push_back({*by_id[i], image_gb_[i]});
+            if (fresh) names.push_back({*by_id[i], l_.st_.image_gb[i]});
             list.push_back(at->second);
         }
         if (!list.empty()) held[m.id] = std::move(list);
@@ -447,7 +499,7 @@
     }
     // What the cluster was larger for goes when the parts begin anew.
     const auto part = image_part_++;
-    if (it == machines_.end()) {
+    if (it == l_.st_.machines.end()) {
         for (auto k = image_part_; k < image_parts_; ++k) gone_records_.push_back(fmt::format("c/{}", k));
         image_parts_ = image_part_;
         image_part_ = 0;
@@ -455,7 +507,7 @@
     d.add(fmt::format("c/{}", part), codec::Json{{"names", std::move(names)}, {"held", std::move(held)}}, size);
 }
 
-void Core::load_images(const codec::Item& i) {
+void Records::load_images(const codec::Item& i) {
     if (const auto n = number_of(i.key); n) image_parts_ = std::max(image_parts_, *n + 1);
     if (!i.value.is_object() || !i.value.contains("names") || !i.value.contains("held")) return;
     const auto& names = i.value["names"];
@@ -464,32 +516,33 @@
     std::vector<int> ids;
     for (const auto& n : names) {
         const bool good = n.is_array() && n.size() == 2 && n[0].is_string() && n[1].is_number();
-        ids.push_back(good ? image_id(n[0].get<std::string>(), n[1].get<double>()) : -1);
+        ids.push_back(good ? l_.image_id(n[0].get<std::string>(), n[1].get<double>()) : -1);
     }
     for (const auto& [id, list] : held.items()) {
         if (!list.is_array()) continue;
         for (const auto& k : list)
             if (k.is_number_unsigned() && k.get<std::size_t>() < ids.size() && ids[k.get<std::size_t>()] >= 0)
-                image_hints_[id].push_back(ids[k.get<std::size_t>()]);
+                l_.image_hints_[id].push_back(ids[k.get<std::size_t>()]);
     }
 }
 
 // What a holder has learned of this day: how much work comes, how far estimates are off, how many spot
 // machines are lost. Without it the next one gives back machines that it needs a moment later.
-void Core::draft_learned(Draft& d) {
-    if (now_ < next_learned_ || d.full(most_ops_ / 2)) return;
-    next_learned_ = now_ + 2 * s_.report_s;
-    const double over = average_s();
+void Records::draft_learned(Draft& d) {
+    if (l_.st_.now < next_learned_ || d.full(most_ops_ / 2)) return;
+    next_learned_ = l_.st_.now + 2 * s_.report_s;
+    const double over = l_.st_.average_s();
     d.add(learned_key,
-          codec::Json{{"at", wall_},
-                      {"offered", offered_ * std::exp(-(now_ - offered_at_) / over)},
-                      {"ran", ran_s_},
-                      {"estimated", estimated_s_},
-                      {"spotLosses", spot_losses_ * std::exp(-(now_ - spot_losses_at_) / over)}},
+          codec::Json{{"at", l_.st_.wall},
+                      {"offered", l_.st_.learned.offered * std::exp(-(l_.st_.now - l_.st_.learned.offered_at) / over)},
+                      {"ran", l_.st_.learned.ran_s},
+                      {"estimated", l_.st_.learned.estimated_s},
+                      {"spotLosses",
+                       l_.st_.learned.spot_losses * std::exp(-(l_.st_.now - l_.st_.learned.spot_losses_at) / over)}},
           120);
 }
 
-void Core::load_learned(const codec::Item& i, double wall) {
+void Records::load_learned(const codec::Item& i, double wall) {
     const auto number = [&](const char* name) {
         const auto it = i.value.is_object() ? i.value.find(name) : i.value.end();
         const double v = it != i.value.end() && it->is_number() ? it->get<double>() : -1;
@@ -498,22 +551,23 @@
     const double at = number("at"), offered = number("offered"), ran = number("ran"), estimated = number("estimated"),
                  losses = number("spotLosses");
     if (at < 0 || offered < 0 || ran <= 0 || estimated <= 0 || losses < 0) return;
-    const double left = std::exp(-std::max(0.0, wall - at) / average_s());
-    offered_ = std::max(offered_, offered * left); // jobs read from the store are part of it
-    spot_losses_ = losses * left;
-    offered_at_ = spot_losses_at_ = now_;
-    ran_s_ = ran;
-    estimated_s_ = estimated;
+    const double left = std::exp(-std::max(0.0, wall - at) / l_.st_.average_s());
+    l_.st_.learned.offered =
+        std::max(l_.st_.learned.offered, offered * left); // jobs read from the store are part of it
+    l_.st_.learned.spot_losses = losses * left;
+    l_.st_.learned.offered_at = l_.st_.learned.spot_losses_at = l_.st_.now;
+    l_.st_.learned.ran_s = ran;
+    l_.st_.learned.estimated_s = estimated;
 }
 
 // One transaction is in flight at a time; this builds the next of what is due, most urgent first.
-void Core::collect_commit() {
-    if (txn_open_ || stepped_down_) return;
+void Records::collect_commit() {
+    if (txn_open_ || l_.stepped_down()) return;
     // The holder's part of the write budget; the rest is left to submissions on all nodes.
     const double rate = s_.state_write_rps * (taken_along_.empty() ? 0.7 : 0.85);
     const double most_saved = std::max(s_.state_write_rps * 0.5, 4.0);
-    write_tokens_ = std::min(write_tokens_ + (now_ - tokens_at_) * rate, most_saved);
-    tokens_at_ = now_;
+    write_tokens_ = std::min(write_tokens_ + (l_.st_.now - tokens_at_) * rate, most_saved);
+    tokens_at_ = l_.st_.now;
     // A few writes are saved up first: placements alone would spend each as it comes, and final
     // states would never find the two or three they need together.
     if (write_tokens_ < std::min(fewest_writes, most_saved)) return;
@@ -534,15 +588,15 @@
     if (d.commit.writes.empty()) return;
     txn_open_ = true;
     write_tokens_ -= static_cast<double>(d.commit.writes.size()) + 1;
-    effects_.push_back(std::move(d.commit));
+    out_.push_back(std::move(d.commit));
 }
 
-void Core::handle(Committed& c) {
+void Records::committed(const Committed& c) {
     txn_open_ = false;
     auto f = std::move(in_flight_);
     in_flight_ = {};
     if (c.outcome == TxnOutcome::office_lost) {
-        stepped_down_ = true;
+        l_.step_down();
         return;
     }
     const bool ok = c.outcome == TxnOutcome::applied;
@@ -555,14 +609,10 @@
                             most_value_, most_ops_));
     }
     auto answer = [&](Job& j) {
-        for (const auto h : j.cancels) effects_.push_back(CancelAnswer{h, word_of(j.final == Final::done)});
+        for (const auto h : j.cancels) out_.push_back(CancelAnswer{h, word_of(j.final == Final::done)});
         j.cancels.clear();
     };
-    auto again = [&](Job& j) {
-        if (j.final_queued) return;
-        j.final_queued = true;
-        finals_.push_back(&j);
-    };
+    auto again = [&](Job& j) { final_due(j, Urgency::done); };
     for (auto& [j, final] : f.finals) {
         if (!ok) {
             again(*j);
@@ -570,7 +620,7 @@
         }
         j->final_stored = true;
         answer(*j);
-        need_settled(j->spec.id, j->final);
+        l_.need_settled(j->spec.id, j->final);
         if (j->live == 0) again(*j);
     }
     if (!ok)
@@ -600,7 +650,7 @@
             }
             if (e->phase != Phase::storing) continue;
             e->phase = ok ? Phase::stored : Phase::intent;
-            if (ok) want_orders(*e->machine);
+            if (ok) l_.want_orders(*e->machine);
         }
         if (!ok) ++ring_[s].stale;
     }
@@ -613,27 +663,19 @@
         }
         j->final_stored = true;
         answer(*j);
-        need_settled(j->spec.id, j->final);
+        l_.need_settled(j->spec.id, j->final);
         drop_job(*j);
     }
 }
 
 // The store keeps the final state; memory only holds what is alive.
-void Core::drop_job(Job& j) {
-    if (recent_.emplace(j.spec.id, j.final).second) {
-        recent_order_.push_back(j.spec.id);
-        if (recent_order_.size() > 5000) {
-            recent_.erase(recent_order_.front());
-            recent_order_.pop_front();
-        }
-    }
+void Records::drop_job(Job& j) {
+    l_.remember_final(j);
     if (j.live > 0) return; // something showed up meanwhile: it is stopped first
-    if (j.team >= 0) std::erase(teams_[static_cast<std::size_t>(j.team)].jobs, &j);
     std::erase(finals_, &j);
     std::erase(taken_along_, &j);
     std::erase(readies_, &j);
-    forget_needs(j);
-    jobs_.erase(std::string(j.spec.id));
+    l_.forget_job(j);
 }
 
 } // namespace heronshift
--- /dev/null
+++ b/tests/test_ledger.cpp
@@ -0,0 +1,126 @@
+// The one function that every placement passes: whatever a policy proposes, no rule is broken.
+#include "heronshift/ledger/ledger.hpp"
+#include "world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift::testing {
+namespace {
+
+using ledger::Ledger;
+
+struct NoBooks final : ledger::Bookkeeping {
+    void added(ledger::Job& /*j*/) override {}
+    void added(ledger::Entry& /*e*/) override {}
+    void removed(ledger::Entry& /*e*/) override {}
+    void final_due(ledger::Job& /*j*/, Urgency /*u*/) override {}
+    void progressed(ledger::Job& /*j*/) override {}
+    void became_ready(ledger::Job& /*j*/) override {}
+};
+
+// Machines of both zones and kinds, and a policy that proposes whatever it is told to.
+struct Desk {
+    Settings settings = small_settings();
+    std::vector<Effect> out;
+    NoBooks books;
+    Ledger ledger{settings, 1, 0, 0, out};
+    std::uint64_t counter = 0;
+
+    Desk() {
+        ledger.keep(books);
+        ledger.types_known(small_types());
+        for (const auto* id : {"a1", "a2", "b1", "s1"}) up(id);
+    }
+    void up(const std::string& id) {
+        Report r{id, id, "m8", id[0] == 'b' ? "b" : "a", id[0] == 's', 1, ++counter, 0, -1, {}};
+        ledger.heard(Beat{r, counter});
+    }
+    const ledger::Job& add(const JobSpec& s, bool waits = false) {
+        JobStored c{s, 0, -1, waits};
+        ledger.add_job(c);
+        return *ledger.view().find_job(s.id);
+    }
+    const ledger::Machine& machine(const std::string& id) {
+        return *ledger.view().machines.at(id);
+    }
+    std::string refusal(const ledger::Job& j, const std::string& on) {
+        const auto* why = ledger.view().refusal(j, machine(on));
+        // The answer and the deed must not differ.
+        EXPECT_EQ(ledger.place(j, machine(on)), why == nullptr);
+        return why == nullptr ? "" : why;
+    }
+};
+
+TEST(Ledger, RefusesAPlaceThatTheJobDoesNotAllow) {
+    Desk d;
+    auto s = job(1, Shape::service, 4, 1);
+    EXPECT_EQ(d.refusal(d.add(s), "s1"), "a type, zone or kind that the job does not allow"); // no spot
+    s = job(2, Shape::array, 4, 1);
+    s.zone = "b";
+    const auto& only_b = d.add(s);
+    EXPECT_NE(d.refusal(only_b, "a1"), "");
+    EXPECT_EQ(d.refusal(only_b, "b1"), "");
+    s = job(3, Shape::array, 4, 1);
+    s.types = {"m64"};
+    EXPECT_NE(d.refusal(d.add(s), "a1"), "");
+}
+
+TEST(Ledger, RefusesToSplitOrCrowdAJob) {
+    Desk d;
+    auto s = job(1, Shape::gang, 3, 1);
+    s.one_zone = true;
+    const auto& together = d.add(s);
+    EXPECT_EQ(d.refusal(together, "a1"), "");
+    EXPECT_NE(d.refusal(together, "b1"), "");
+    EXPECT_EQ(d.refusal(together, "a2"), "");
+    s = job(2, Shape::service, 3, 1);
+    s.spread = true;
+    const auto& apart = d.add(s); // two of three may be in one zone
+    EXPECT_EQ(d.refusal(apart, "a1"), "");
+    EXPECT_EQ(d.refusal(apart, "a2"), "");
+    EXPECT_NE(d.refusal(apart, "a1"), "");
+    EXPECT_EQ(d.refusal(apart, "b1"), "");
+}
+
+TEST(Ledger, RefusesWhatExceedsRoomOrLimit) {
+    Desk d;
+    const auto& big = d.add(job(1, Shape::array, 9, 5)); // machines of 8 CPUs
+    EXPECT_EQ(d.refusal(big, "a1"), "");
+    EXPECT_EQ(d.refusal(big, "a1"), "no room");
+    // The team's limit is 40 CPUs; what may be on a machine counts, reported or not.
+    d.settings.teams[0].cpus_max = 40;
+    for (int i = 0; i < 8; ++i) d.up(fmt::format("a{}", 10 + i));
+    for (int i = 0; i < 7; ++i) EXPECT_EQ(d.refusal(big, fmt::format("a{}", 10 + i)), "") << i;
+    EXPECT_EQ(d.refusal(big, "a17"), "the team's limit");
+    EXPECT_EQ(d.ledger.view().teams[0].used.cpus, 40);
+}
+
+TEST(Ledger, RefusesWhatWaitsIsOverOrOnItsWayOut) {
+    Desk d;
+    auto s = job(2, Shape::array, 2, 1);
+    s.needs = {"wk-000001"};
+    const auto& waits = d.add(s, true);
+    EXPECT_EQ(d.refusal(waits, "a1"), "the jobs that it needs are not done");
+    const auto& over = d.add(job(3, Shape::array, 2, 1));
+    EXPECT_EQ(d.refusal(over, "a1"), "");
+    d.ledger.cancel({"wk-000003", 1});
+    EXPECT_EQ(d.refusal(over, "a1"), "the job is over");
+    const auto& other = d.add(job(4, Shape::array, 2, 1));
+    d.ledger.give_back(d.machine("a1"));
+    EXPECT_EQ(d.refusal(other, "a1"), "the machine takes no work");
+}
+
+// A refused proposal changes nothing and is said in the log.
+TEST(Ledger, ARefusedProposalLeavesTheStateAsItWas) {
+    Desk d;
+    const auto& j = d.add(job(1, Shape::service, 2, 1));
+    d.out.clear();
+    EXPECT_FALSE(d.ledger.place(j, d.machine("s1")));
+    EXPECT_EQ(j.pending.size(), 2U);
+    EXPECT_EQ(j.live, 0U);
+    ASSERT_EQ(d.out.size(), 1U);
+    EXPECT_EQ(std::get<Note>(d.out[0]).level, 2);
+}
+
+} // namespace
+} // namespace heronshift::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -3,7 +3,7 @@
 // several that take it from each other. After every step all rules are checked.
 #pragma once
 
-#include "heronshift/core.hpp"
+#include "heronshift/core/core.hpp"
 #include "heronshift/replay/command_log.hpp"
 #include "heronshift/tenancy.hpp"
 
@@ -111,7 +111,7 @@
     std::vector<std::string> broken;
     std::set<std::string> claims;
     std::function<void(const std::vector<codec::Write>&)> on_commit;
-    replay::CommandLog* log = nullptr;         // of the one controller, if it is to be recorded
+    replay::CommandLog* log = nullptr;          // of the one controller, if it is to be recorded
     std::function<double(std::uint32_t)> takes; // how long a task runs, by its index
 
     double chance() {
