State stores: one interface, an engine in memory or on SQLite, HTTP on both sides

Need: the scheduler inside a program has no state service beside it. The protocol's semantics (stamps, guards, holds, follow, limits) stand in one engine over plain data; the file keeps it through kills and losses of power (WAL, synchronous=FULL), is checked, migrated and refused with a reason, and its holds end by the machine's steady clock. A stand-in serves the same engine over HTTP.

Measured: one contract of eight stories passes on all three; 25 kills of a writing child lose nothing that was answered; full disk, removed file, damage, newer schema, two processes have their stories.

--- a/include/heronshift/codec.hpp
+++ b/include/heronshift/codec.hpp
@@ -94,12 +94,28 @@
     Json value;
     std::uint64_t stamp = 0;
     bool deleted = false;
+    std::uint64_t hold = 0; // that it hangs on, if the store said so
 };
 struct Page {
     std::vector<Item> items;
     bool more = false;
     std::uint64_t epoch = 0;
 };
+// The store's side, for stand-ins.
+std::string item_answer(const Item& i);
+std::string page_answer(const Page& p);
+std::string events_answer(const Page& p);
+std::string epoch_answer(std::uint64_t epoch);
+std::string failed_answer(const std::vector<std::string>& failed, std::uint64_t epoch);
+std::string hold_answer(std::uint64_t hold);
+struct TxnRequest {
+    std::vector<Guard> guards;
+    std::vector<Write> writes;
+};
+std::optional<TxnRequest> txn_request(std::string_view body);
+std::optional<std::int64_t> ttl_ms_of(std::string_view body);
+std::string store_error(std::string_view body); // what an answer says is wrong
+
 std::string txn(const std::vector<Guard>& guards, const std::vector<Write>& writes);
 std::optional<std::uint64_t> epoch_of(std::string_view body);
 std::optional<std::vector<std::string>> failed_guards(std::string_view body);
--- a/include/heronshift/http.hpp
+++ b/include/heronshift/http.hpp
@@ -48,7 +48,8 @@
 
     // Returns 0 or a libuv error.
     int listen(const Endpoint& at);
-    void sweep(); // closes slow and idle connections; call about once a second
+    [[nodiscard]] int port() const; // that it listens on: the system's choice where 0 was asked for
+    void sweep();                   // closes slow and idle connections; call about once a second
     [[nodiscard]] std::size_t connections() const {
         return conns_.size();
     }
--- /dev/null
+++ b/include/heronshift/store/local.hpp
@@ -0,0 +1,48 @@
+// A state store inside this process: an engine on a thread of its own, which takes what has gathered
+// as one batch, with one commit. So a slow disk holds up no loop, and one sync serves many changes.
+//
+// Owns: the engine and its thread, who waits for changes, deadlines of calls.
+#pragma once
+
+#include "heronshift/store/engine.hpp"
+
+#include <uv.h>
+
+namespace heronshift::store {
+
+class LocalStore final : public StateStore {
+public:
+    // The loop must run, or be run once more, after the store is destroyed: a handle closes there.
+    LocalStore(uv_loop_t* loop, std::unique_ptr<Engine> engine, std::string name, double poll_s = 0.02);
+    ~LocalStore() override;
+
+    void get(const std::string& key, double timeout_s, Callback done) override;
+    void list(const std::string& under, const std::string& since, int most, double timeout_s, Callback done) override;
+    void transact(const std::vector<codec::Guard>& guards, const std::vector<codec::Write>& writes, double timeout_s,
+                  Callback done) override;
+    void hold(double ttl_s, double timeout_s, Callback done) override;
+    void extend(std::uint64_t hold, double timeout_s, Callback done) override;
+    void end_hold(std::uint64_t hold, double timeout_s, Callback done) override;
+    void follow(const std::string& under, std::uint64_t since, double block_s, Callback done) override;
+    void sweep() override;
+    [[nodiscard]] std::string name() const override {
+        return name_;
+    }
+
+private:
+    struct Shared;
+    struct Call;
+    void submit(std::unique_ptr<Call> c, double timeout_s, Callback done);
+    void deliver();
+    struct Open {
+        Callback done;
+        double deadline = 0;
+    };
+    std::string name_;
+    std::map<std::uint64_t, Open> open_;
+    std::uint64_t last_ = 0;
+    std::shared_ptr<Shared> shared_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace heronshift::store
--- /dev/null
+++ b/include/heronshift/store/server.hpp
@@ -0,0 +1,48 @@
+// A stand-in of the state service: an engine behind HTTP on loopback, for tests, tries and scripts.
+// Troubles can be played: an outage (503) or silence, for everybody.
+#pragma once
+
+#include "heronshift/http.hpp"
+#include "heronshift/store/engine.hpp"
+
+namespace heronshift::store {
+
+class StoreServer {
+public:
+    enum class Mood : std::uint8_t { well, out, silent };
+    StoreServer(uv_loop_t* loop, std::unique_ptr<Engine> engine);
+    ~StoreServer();
+    StoreServer(const StoreServer&) = delete;
+    StoreServer& operator=(const StoreServer&) = delete;
+
+    int start(const Endpoint& at); // 0 or a libuv error
+    [[nodiscard]] int port() const {
+        return server_.port();
+    }
+    // When an outage ends, all holds have their full time again.
+    void set_mood(Mood m);
+    [[nodiscard]] std::uint64_t requests() const {
+        return requests_;
+    }
+
+private:
+    struct Follow {
+        Responder res;
+        std::string under;
+        std::uint64_t since = 0;
+        std::int64_t until_ms = 0;
+    };
+    [[nodiscard]] std::int64_t now_ms() const;
+    void handle(HttpRequest&& r, const Responder& res);
+    void poll();
+    uv_loop_t* loop_;
+    std::unique_ptr<Engine> engine_;
+    HttpServer server_;
+    uv_timer_t* timer_ = nullptr;
+    std::vector<Follow> follows_;
+    std::vector<Responder> unanswered_;
+    Mood mood_ = Mood::well;
+    std::uint64_t requests_ = 0, polls_ = 0, seen_ = 0;
+};
+
+} // namespace heronshift::store
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -226,6 +226,13 @@
     return e;
 }
 
+int HttpServer::port() const {
+    sockaddr_in addr{};
+    int size = sizeof addr;
+    if (tcp_ == nullptr || uv_tcp_getsockname(tcp_, reinterpret_cast<sockaddr*>(&addr), &size) != 0) return 0;
+    return ntohs(addr.sin_port);
+}
+
 void HttpServer::accept() {
     auto c = std::make_shared<ServerConnection>(this);
     conns_.insert(c);
--- /dev/null
+++ b/src/store/file_data.cpp
@@ -0,0 +1,359 @@
+#include "heronshift/store/file_data.hpp"
+
+#include <array>
+#include <chrono>
+#include <fmt/format.h>
+#include <fstream>
+#include <sqlite3.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace heronshift::store {
+namespace {
+
+constexpr int application = 0x48535354; // "HSST", in the file's header
+constexpr std::size_t trim_every = 1000;
+
+// Each step brings the file from one schema to the next. Steps are never changed once released.
+constexpr std::array<const char*, file_schema> steps = {
+    "CREATE TABLE meta(k TEXT PRIMARY KEY, v) WITHOUT ROWID;"
+    "INSERT INTO meta VALUES('epoch', 0), ('boot', '');"
+    "CREATE TABLE kv(k TEXT PRIMARY KEY, data TEXT NOT NULL, stamp INTEGER NOT NULL, lease INTEGER NOT NULL)"
+    " WITHOUT ROWID;"
+    "CREATE TABLE holds(id INTEGER PRIMARY KEY AUTOINCREMENT, ttl INTEGER NOT NULL, ends INTEGER NOT NULL);"
+    "CREATE TABLE changes(n INTEGER PRIMARY KEY AUTOINCREMENT, stamp INTEGER NOT NULL, k TEXT NOT NULL, data TEXT);",
+    // What hangs on a hold was found by reading every key.
+    "CREATE INDEX kv_lease ON kv(lease) WHERE lease <> 0;"
+    "CREATE INDEX changes_stamp ON changes(stamp);"
+    "INSERT INTO meta VALUES('forgotten', 0);",
+};
+
+std::string boot_id() {
+    std::string id;
+    std::getline(std::ifstream("/proc/sys/kernel/random/boot_id"), id);
+    return id;
+}
+
+class FileData final : public Data {
+public:
+    FileData(const std::string& path, const FileOptions& options) : path_(path) {
+        try {
+            open(options);
+        } catch (...) {
+            close();
+            throw;
+        }
+    }
+    ~FileData() override {
+        close();
+    }
+    FileData(const FileData&) = delete;
+    FileData& operator=(const FileData&) = delete;
+
+    void begin() override {
+        // A file that was removed or replaced still takes writes, which nobody would ever read.
+        struct stat s {};
+        if (::stat(path_.c_str(), &s) != 0 || s.st_ino != inode_ || s.st_dev != device_)
+            throw StoreError(fmt::format("{}: the file was removed or replaced", path_));
+        run("BEGIN IMMEDIATE");
+        open_ = true;
+    }
+    bool commit() override {
+        open_ = false;
+        reset_all();
+        const int e = sqlite3_exec(db_, "COMMIT", nullptr, nullptr, nullptr);
+        if (e == SQLITE_OK) return true;
+        const std::string why = sqlite3_errmsg(db_);
+        sqlite3_exec(db_, "ROLLBACK", nullptr, nullptr, nullptr);
+        if (e == SQLITE_IOERR) return false; // the sync may have failed after the write
+        throw StoreError(fmt::format("{}: {}", path_, why));
+    }
+    void abandon() override {
+        reset_all();
+        if (open_) sqlite3_exec(db_, "ROLLBACK", nullptr, nullptr, nullptr);
+        open_ = false;
+    }
+
+    std::uint64_t epoch() override {
+        auto& q = prepared("SELECT v FROM meta WHERE k='epoch'");
+        q.row();
+        return q.number(0);
+    }
+    std::uint64_t next_epoch() override {
+        prepared("UPDATE meta SET v=v+1 WHERE k='epoch'").run();
+        return epoch();
+    }
+    std::optional<Row> get(const std::string& key) override {
+        auto& q = prepared("SELECT data, stamp, lease FROM kv WHERE k=?1").bind(1, key);
+        if (!q.row()) return {};
+        return Row{q.text(0), q.number(1), q.number(2)};
+    }
+    void each(const std::string& under, const std::string& since,
+              const std::function<bool(const std::string&, const Row&)>& f) override {
+        const bool from_start = since < under;
+        auto& q = from_start ? prepared("SELECT k, data, stamp, lease FROM kv WHERE k>=?1 ORDER BY k").bind(1, under)
+                             : prepared("SELECT k, data, stamp, lease FROM kv WHERE k>?1 ORDER BY k").bind(1, since);
+        while (q.row()) {
+            const auto key = q.text(0);
+            if (!key.starts_with(under) || !f(key, {q.text(1), q.number(2), q.number(3)})) return;
+        }
+    }
+    void put(const std::string& key, const Row& row) override {
+        prepared("INSERT INTO kv VALUES(?1,?2,?3,?4) ON CONFLICT(k) DO UPDATE SET data=?2, stamp=?3, lease=?4")
+            .bind(1, key)
+            .bind(2, row.data)
+            .bind(3, row.stamp)
+            .bind(4, row.lease)
+            .run();
+    }
+    void erase(const std::string& key) override {
+        prepared("DELETE FROM kv WHERE k=?1").bind(1, key).run();
+    }
+    void add_change(const Change& c) override {
+        auto& q = prepared("INSERT INTO changes(stamp, k, data) VALUES(?1,?2,?3)").bind(1, c.stamp).bind(2, c.key);
+        if (c.data)
+            q.bind(3, *c.data);
+        else
+            q.bind_null(3);
+        q.run();
+        if (++added_ % trim_every != 0) return;
+        const std::string old = fmt::format("(SELECT max(n)-{} FROM changes)", kept_changes);
+        prepared("UPDATE meta SET v=max(v, ifnull((SELECT max(stamp) FROM changes WHERE n<=" + old +
+                 "),0)) WHERE k='forgotten'")
+            .run();
+        prepared("DELETE FROM changes WHERE n<=" + old).run();
+    }
+    std::optional<std::vector<Change>> changes(const std::string& under, std::uint64_t since) override {
+        auto& old = prepared("SELECT v FROM meta WHERE k='forgotten'");
+        old.row();
+        if (since < old.number(0)) return {};
+        auto& q = prepared("SELECT k, data, stamp FROM changes WHERE stamp>?1 ORDER BY n").bind(1, since);
+        std::vector<Change> out;
+        while (q.row()) {
+            Change c{q.text(0), std::nullopt, q.number(2)};
+            if (!c.key.starts_with(under)) continue;
+            if (!q.null(1)) c.data = q.text(1);
+            out.push_back(std::move(c));
+        }
+        return out;
+    }
+    std::uint64_t add_hold(const Hold& h) override {
+        prepared("INSERT INTO holds(ttl, ends) VALUES(?1,?2)")
+            .bind(1, number(h.ttl_ms))
+            .bind(2, number(h.ends_ms))
+            .run();
+        return static_cast<std::uint64_t>(sqlite3_last_insert_rowid(db_));
+    }
+    std::optional<Hold> get_hold(std::uint64_t id) override {
+        auto& q = prepared("SELECT ttl, ends FROM holds WHERE id=?1").bind(1, id);
+        if (!q.row()) return {};
+        return Hold{static_cast<std::int64_t>(q.number(0)), static_cast<std::int64_t>(q.number(1))};
+    }
+    void set_hold(std::uint64_t id, const Hold& h) override {
+        prepared("UPDATE holds SET ttl=?2, ends=?3 WHERE id=?1")
+            .bind(1, id)
+            .bind(2, number(h.ttl_ms))
+            .bind(3, number(h.ends_ms))
+            .run();
+    }
+    void erase_hold(std::uint64_t id) override {
+        prepared("DELETE FROM holds WHERE id=?1").bind(1, id).run();
+    }
+    std::vector<std::uint64_t> ended_holds(std::int64_t now_ms) override {
+        auto& q = prepared("SELECT id FROM holds WHERE ends<?1").bind(1, number(now_ms));
+        std::vector<std::uint64_t> out;
+        while (q.row()) out.push_back(q.number(0));
+        return out;
+    }
+    std::vector<std::string> keys_of(std::uint64_t hold) override {
+        auto& q = prepared("SELECT k FROM kv WHERE lease=?1 AND lease<>0").bind(1, hold);
+        std::vector<std::string> out;
+        while (q.row()) out.push_back(q.text(0));
+        return out;
+    }
+    bool changed_by_others() override {
+        auto& q = prepared("PRAGMA data_version");
+        q.row();
+        const auto v = q.number(0);
+        q.reset();
+        return std::exchange(version_, v) != v;
+    }
+
+private:
+    // A prepared statement, ready to be bound.
+    class Statement {
+    public:
+        Statement(sqlite3* db, const std::string& path, const std::string& sql) : db_(db), path_(path) {
+            check(sqlite3_prepare_v3(db, sql.c_str(), -1, SQLITE_PREPARE_PERSISTENT, &s_, nullptr), SQLITE_OK);
+        }
+        ~Statement() {
+            sqlite3_finalize(s_);
+        }
+        Statement(const Statement&) = delete;
+        Statement& operator=(const Statement&) = delete;
+
+        Statement& reset() {
+            sqlite3_reset(s_);
+            return *this;
+        }
+        Statement& bind(int at, const std::string& text) {
+            check(sqlite3_bind_text(s_, at, text.data(), static_cast<int>(text.size()), SQLITE_TRANSIENT), SQLITE_OK);
+            return *this;
+        }
+        Statement& bind(int at, std::uint64_t n) {
+            check(sqlite3_bind_int64(s_, at, static_cast<sqlite3_int64>(n)), SQLITE_OK);
+            return *this;
+        }
+        void bind_null(int at) {
+            sqlite3_bind_null(s_, at);
+        }
+        bool row() {
+            const int e = sqlite3_step(s_);
+            if (e == SQLITE_ROW) return true;
+            check(e, SQLITE_DONE);
+            sqlite3_reset(s_);
+            return false;
+        }
+        void run() {
+            while (row()) {
+            }
+        }
+        std::string text(int at) {
+            const auto* p = reinterpret_cast<const char*>(sqlite3_column_text(s_, at));
+            return p == nullptr ? "" : std::string(p, static_cast<std::size_t>(sqlite3_column_bytes(s_, at)));
+        }
+        std::uint64_t number(int at) {
+            return static_cast<std::uint64_t>(sqlite3_column_int64(s_, at));
+        }
+        bool null(int at) {
+            return sqlite3_column_type(s_, at) == SQLITE_NULL;
+        }
+
+    private:
+        void check(int e, int wanted) {
+            if (e != wanted) throw StoreError(fmt::format("{}: {}", path_, sqlite3_errmsg(db_)));
+        }
+        sqlite3* db_;
+        const std::string& path_;
+        sqlite3_stmt* s_ = nullptr;
+    };
+
+    static std::uint64_t number(std::int64_t n) {
+        return static_cast<std::uint64_t>(n);
+    }
+    Statement& prepared(const std::string& sql) {
+        auto& s = statements_[sql];
+        if (!s) s = std::make_unique<Statement>(db_, path_, sql);
+        return s->reset();
+    }
+    // A statement that was not read to its end holds on to an old view of the file, and the next
+    // transaction could not begin on top of it.
+    void reset_all() {
+        for (auto& [sql, s] : statements_) s->reset();
+    }
+    void run(const char* sql) {
+        if (sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK) fail();
+    }
+    std::uint64_t ask(const char* sql) {
+        Statement q(db_, path_, sql);
+        return q.row() ? q.number(0) : 0;
+    }
+    [[noreturn]] void fail() const {
+        throw StoreError(fmt::format("{}: {}", path_, sqlite3_errmsg(db_)));
+    }
+    void close() {
+        statements_.clear();
+        sqlite3_close(db_);
+        db_ = nullptr;
+    }
+
+    void open(const FileOptions& options) {
+        if (sqlite3_open_v2(path_.c_str(), &db_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX,
+                            nullptr) != SQLITE_OK)
+            fail();
+        sqlite3_extended_result_codes(db_, 0);
+        sqlite3_busy_timeout(db_, static_cast<int>(options.busy_wait_s * 1000));
+        const int newest = options.schema > 0 ? options.schema : file_schema;
+        const auto owner = ask("PRAGMA application_id");
+        const auto tables = ask("SELECT count(*) FROM sqlite_master");
+        if (owner != application && (owner != 0 || tables != 0))
+            throw StoreError(fmt::format("{}: a database of another program", path_));
+        const auto schema = ask("PRAGMA user_version");
+        if (schema > static_cast<std::uint64_t>(file_schema))
+            throw StoreError(fmt::format("{}: written by a newer version (schema {}, this one knows {})", path_, schema,
+                                         file_schema));
+        if (tables != 0) {
+            Statement q(db_, path_, "PRAGMA quick_check(1)");
+            if (!q.row() || q.text(0) != "ok") throw StoreError(fmt::format("{}: damaged: {}", path_, q.text(0)));
+        }
+        run("PRAGMA journal_mode=WAL");
+        run(options.fsync ? "PRAGMA synchronous=FULL" : "PRAGMA synchronous=OFF");
+        run("BEGIN IMMEDIATE");
+        try {
+            // Another process may have done it meanwhile.
+            for (auto k = ask("PRAGMA user_version"); k < static_cast<std::uint64_t>(newest); ++k) run(steps[k]);
+            run(fmt::format("PRAGMA application_id={}", application).c_str());
+            if (ask("PRAGMA user_version") < static_cast<std::uint64_t>(newest))
+                run(fmt::format("PRAGMA user_version={}", newest).c_str());
+            renew_after_boot();
+            run("COMMIT");
+        } catch (...) {
+            sqlite3_exec(db_, "ROLLBACK", nullptr, nullptr, nullptr);
+            throw;
+        }
+        struct stat s {};
+        if (::stat(path_.c_str(), &s) != 0) throw StoreError(fmt::format("{}: the file was removed", path_));
+        inode_ = s.st_ino;
+        device_ = s.st_dev;
+    }
+
+    // The clock that holds end by began anew.
+    void renew_after_boot() {
+        const auto boot = boot_id();
+        Statement q(db_, path_, "SELECT v FROM meta WHERE k='boot'");
+        if (q.row() && q.text(0) == boot) return;
+        q.reset();
+        using namespace std::chrono;
+        const auto now = duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+        Statement(db_, path_, "UPDATE holds SET ends=?1+ttl").bind(1, number(now)).run();
+        Statement(db_, path_, "UPDATE meta SET v=?1 WHERE k='boot'").bind(1, boot).run();
+    }
+
+    std::string path_;
+    sqlite3* db_ = nullptr;
+    std::map<std::string, std::unique_ptr<Statement>> statements_;
+    bool open_ = false;
+    std::uint64_t version_ = 0, added_ = 0;
+    ino_t inode_ = 0;
+    dev_t device_ = 0;
+};
+
+} // namespace
+
+std::unique_ptr<Data> file_data(const std::string& path, const FileOptions& options) {
+    return std::make_unique<FileData>(path, options);
+}
+
+void back_up(const std::string& path, const std::string& to) {
+    struct stat s {};
+    if (::stat(to.c_str(), &s) == 0) throw StoreError(fmt::format("{}: exists", to));
+    sqlite3 *from = nullptr, *into = nullptr;
+    int e = sqlite3_open_v2(path.c_str(), &from, SQLITE_OPEN_READONLY, nullptr);
+    std::string why = e == SQLITE_OK ? "" : fmt::format("{}: {}", path, sqlite3_errmsg(from));
+    if (why.empty()) {
+        sqlite3_busy_timeout(from, 2000);
+        e = sqlite3_open(to.c_str(), &into);
+        if (auto* b = e == SQLITE_OK ? sqlite3_backup_init(into, "main", from, "main") : nullptr; b != nullptr) {
+            sqlite3_backup_step(b, -1);
+            sqlite3_backup_finish(b);
+        }
+        if (sqlite3_errcode(into) != SQLITE_OK) why = fmt::format("{}: {}", to, sqlite3_errmsg(into));
+    }
+    sqlite3_close(from);
+    sqlite3_close(into);
+    if (why.empty()) return;
+    ::unlink(to.c_str());
+    throw StoreError(why);
+}
+
+} // namespace heronshift::store
--- /dev/null
+++ b/tests/test_store.cpp
@@ -0,0 +1,486 @@
+// One contract, three stores: in memory, in a file, and over HTTP. Then what only a file can suffer.
+#include "heronshift/store/file_data.hpp"
+#include "heronshift/store/local.hpp"
+#include "heronshift/store/remote.hpp"
+#include "heronshift/store/server.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <fmt/format.h>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <random>
+#include <sqlite3.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace heronshift::store {
+namespace {
+
+using codec::Guard;
+using codec::Json;
+using codec::Write;
+
+constexpr double patience_s = 30; // no story takes it; a store that hangs fails here
+
+std::string file_name() {
+    const auto* test = ::testing::UnitTest::GetInstance()->current_test_info();
+    auto name = fmt::format("{}-{}", test->test_suite_name(), test->name());
+    std::replace(name.begin(), name.end(), '/', '-');
+    return ::testing::TempDir() + name + ".db";
+}
+
+void remove_file(const std::string& path) {
+    for (const auto* end : {"", "-wal", "-shm"}) std::remove((path + end).c_str());
+}
+
+struct Loop {
+    uv_loop_t loop{};
+    Loop() {
+        uv_loop_init(&loop);
+    }
+    ~Loop() {
+        uv_run(&loop, UV_RUN_DEFAULT); // handles close
+        uv_loop_close(&loop);
+    }
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+
+    Answer ask(StateStore& s, const std::function<void(StateStore&, Callback)>& call) {
+        std::optional<Answer> got;
+        call(s, [&](Answer&& a) { got = std::move(a); });
+        EXPECT_FALSE(got) << "answered before the call returned";
+        wait([&] { return got.has_value(); }, s);
+        return got.value_or(Answer{});
+    }
+    void wait(const std::function<bool()>& over, StateStore& s) {
+        const auto end = uv_hrtime() + static_cast<std::uint64_t>(patience_s * 1e9);
+        while (!over() && uv_hrtime() < end) {
+            uv_run(&loop, UV_RUN_NOWAIT);
+            s.sweep();
+            usleep(1000);
+        }
+        EXPECT_TRUE(over());
+    }
+};
+
+struct Easy { // a store, asked one thing at a time
+    Loop& l;
+    StateStore& s;
+    Answer get(const std::string& k) {
+        return l.ask(s, [&](auto& x, auto d) { x.get(k, patience_s, d); });
+    }
+    Answer list(const std::string& under, const std::string& since = "", int most = 200) {
+        return l.ask(s, [&](auto& x, auto d) { x.list(under, since, most, patience_s, d); });
+    }
+    Answer txn(const std::vector<Guard>& g, const std::vector<Write>& w) {
+        return l.ask(s, [&](auto& x, auto d) { x.transact(g, w, patience_s, d); });
+    }
+    Answer hold(double ttl) {
+        return l.ask(s, [&](auto& x, auto d) { x.hold(ttl, patience_s, d); });
+    }
+    Answer extend(std::uint64_t h) {
+        return l.ask(s, [&](auto& x, auto d) { x.extend(h, patience_s, d); });
+    }
+    Answer end_hold(std::uint64_t h) {
+        return l.ask(s, [&](auto& x, auto d) { x.end_hold(h, patience_s, d); });
+    }
+    Answer follow(const std::string& under, std::uint64_t since, double block) {
+        return l.ask(s, [&](auto& x, auto d) { x.follow(under, since, block, d); });
+    }
+};
+
+enum class Kind { memory, file, remote };
+
+struct Rig {
+    explicit Rig(Kind kind, const Limits& limits = {}) {
+        if (kind == Kind::remote) {
+            server = std::make_unique<StoreServer>(&loop.loop, std::make_unique<Engine>(memory_data(), limits));
+            EXPECT_EQ(server->start({"127.0.0.1", 0}), 0);
+            store = std::make_unique<RemoteStore>(&loop.loop, Endpoint{"127.0.0.1", server->port()});
+            return;
+        }
+        path = file_name();
+        remove_file(path);
+        auto data = kind == Kind::file ? file_data(path) : memory_data();
+        store = std::make_unique<LocalStore>(&loop.loop, std::make_unique<Engine>(std::move(data), limits), "local");
+    }
+    ~Rig() {
+        store.reset();
+        server.reset();
+        if (!path.empty()) remove_file(path);
+    }
+    Rig(const Rig&) = delete;
+    Rig& operator=(const Rig&) = delete;
+    Easy easy() {
+        return {loop, *store};
+    }
+    std::string path;
+    Loop loop;
+    std::unique_ptr<StoreServer> server;
+    std::unique_ptr<StateStore> store;
+};
+
+class Contract : public ::testing::TestWithParam<Kind> {};
+
+TEST_P(Contract, AKeyHasTheStampOfItsLastChange) {
+    Rig r(GetParam());
+    auto s = r.easy();
+    EXPECT_EQ(s.get("a/b").status, 404);
+    const auto first = s.txn({{"a/b", 0}}, {{"a/b", Json{{"n", 1}}, 0}, {"a/c", Json("x"), 0}});
+    ASSERT_EQ(first.status, 200);
+    const auto b = s.get("a/b"), c = s.get("a/c");
+    ASSERT_TRUE(b.item && c.item);
+    EXPECT_EQ(b.item->value, (Json{{"n", 1}}));
+    EXPECT_EQ(b.item->stamp, first.epoch);
+    EXPECT_EQ(c.item->stamp, first.epoch); // every change of a transaction has the same
+    const auto second = s.txn({}, {{"a/c", std::nullopt, 0}});
+    EXPECT_GT(second.epoch, first.epoch);
+    EXPECT_EQ(s.get("a/c").status, 404);
+    EXPECT_EQ(s.get("a/b").item->stamp, first.epoch);
+}
+
+TEST_P(Contract, AGuardThatFailsStopsAll) {
+    Rig r(GetParam());
+    auto s = r.easy();
+    const auto a = s.txn({}, {{"a", Json(1), 0}});
+    const auto refused = s.txn({{"a", a.epoch}, {"b", 7}}, {{"a", Json(2), 0}, {"c", Json(3), 0}});
+    EXPECT_EQ(refused.status, 409);
+    EXPECT_EQ(refused.failed, std::vector<std::string>{"b"});
+    EXPECT_EQ(s.get("a").item->value, Json(1));
+    EXPECT_EQ(s.get("c").status, 404);
+    EXPECT_EQ(s.txn({{"a", a.epoch}}, {}).status, 200); // only compares
+    EXPECT_EQ(s.txn({{"a", 0}}, {}).status, 409);       // it exists
+}
+
+TEST_P(Contract, AListComesInPagesInTheOrderOfKeys) {
+    Rig r(GetParam());
+    auto s = r.easy();
+    for (int i = 0; i < 30; ++i)
+        s.txn({}, {{fmt::format("j/{:02}", i), Json(i), 0}, {fmt::format("k/{}", i), Json(i), 0}});
+    std::string since;
+    int n = 0;
+    for (bool more = true; more;) {
+        const auto page = s.list("j/", since, 7);
+        ASSERT_EQ(page.status, 200);
+        for (const auto& i : page.items) EXPECT_EQ(i.value, Json(n++));
+        more = page.more;
+        ASSERT_FALSE(page.items.empty());
+        since = page.items.back().key;
+    }
+    EXPECT_EQ(n, 30);
+    EXPECT_TRUE(s.list("nothing/").items.empty());
+}
+
+TEST_P(Contract, KeysGoWithTheirHold) {
+    Rig r(GetParam());
+    auto s = r.easy();
+    const auto h = s.hold(60);
+    ASSERT_EQ(h.status, 200);
+    ASSERT_EQ(s.txn({}, {{"on", Json(1), h.lease}, {"off", Json(1), h.lease}}).status, 200);
+    EXPECT_EQ(s.get("on").item->hold, h.lease);
+    ASSERT_EQ(s.txn({}, {{"off", Json(2), 0}}).status, 200); // without the hold it is detached
+    EXPECT_EQ(s.extend(h.lease).status, 200);
+    const auto before = s.list("").epoch;
+    EXPECT_EQ(s.end_hold(h.lease).status, 200);
+    EXPECT_EQ(s.get("on").status, 404);
+    EXPECT_EQ(s.get("off").status, 200);
+    EXPECT_EQ(s.extend(h.lease).status, 404);
+    const auto refused = s.txn({{"off", 99}}, {{"x", Json(1), h.lease}}); // whatever the guards
+    EXPECT_EQ(refused.status, 400);
+    EXPECT_EQ(refused.error, "no such lease");
+    const auto gone = s.follow("on", before, 0);
+    ASSERT_EQ(gone.items.size(), 1U);
+    EXPECT_TRUE(gone.items[0].deleted);
+    // One that nobody renews ends by itself.
+    const auto brief = s.hold(0.1);
+    s.txn({}, {{"brief", Json(1), brief.lease}});
+    r.loop.wait([&] { return s.get("brief").status == 404; }, *r.store);
+    EXPECT_EQ(s.hold(0.05).status, 400);
+}
+
+TEST_P(Contract, AFollowWaitsForAChange) {
+    Rig r(GetParam());
+    auto s = r.easy();
+    const auto at = s.txn({}, {{"c/1", Json(1), 0}}).epoch;
+    std::optional<Answer> got;
+    r.store->follow("c/", at, patience_s, [&](Answer&& a) { got = std::move(a); });
+    s.txn({}, {{"d/1", Json(1), 0}}); // not below the prefix
+    EXPECT_FALSE(got);
+    s.txn({}, {{"c/2", Json("x"), 0}, {"c/1", std::nullopt, 0}});
+    r.loop.wait([&] { return got.has_value(); }, *r.store);
+    ASSERT_EQ(got->items.size(), 2U);
+    EXPECT_EQ(got->items[0].key, "c/2");
+    EXPECT_EQ(got->items[0].value, Json("x"));
+    EXPECT_TRUE(got->items[1].deleted);
+    EXPECT_EQ(s.follow("c/", at, 0).items.size(), 2U);            // what was missed comes at once
+    EXPECT_EQ(s.follow("c/", got->epoch, 0.05).items.size(), 0U); // and nothing after a while
+}
+
+TEST_P(Contract, WhatWasForgottenMustBeReadAgain) {
+    Rig r(GetParam(), {0, 0, 4000, 16});
+    auto s = r.easy();
+    const auto start = s.txn({}, {{"a", Json(0), 0}}).epoch;
+    for (int i = 0; i < 12; ++i) {
+        std::vector<Write> many;
+        for (int k = 0; k < 1000; ++k) many.push_back({fmt::format("k{}", k), Json(i), 0});
+        ASSERT_EQ(s.txn({}, many).status, 200);
+    }
+    EXPECT_EQ(s.follow("", start - 1, 0).status, 410);
+    EXPECT_EQ(s.follow("", s.list("nothing/").epoch, 0).status, 200);
+}
+
+TEST_P(Contract, WhatIsNotAllowedIsRefused) {
+    Rig r(GetParam(), {0, 0, 3, 1});
+    auto s = r.easy();
+    EXPECT_EQ(s.txn({}, {{"a", Json(1), 0}, {"b", Json(1), 0}, {"c", Json(1), 0}, {"d", Json(1), 0}}).status, 400);
+    EXPECT_EQ(s.txn({}, {{"a", Json(std::string(1100, 'x')), 0}}).status, 400);
+    EXPECT_EQ(s.txn({}, {{std::string(201, 'k'), Json(1), 0}}).status, 400);
+    EXPECT_EQ(s.txn({}, {{"with space", Json(1), 0}}).status, 400);
+    EXPECT_EQ(s.txn(std::vector<Guard>(13, Guard{"a", 0}), {}).status, 400);
+    EXPECT_EQ(s.list("").items.size(), 0U);
+}
+
+TEST_P(Contract, AboveTheLimitsComes429) {
+    Rig r(GetParam(), {5, 2, 16, 16});
+    auto s = r.easy();
+    int refused = 0;
+    for (int i = 0; i < 40; ++i) refused += s.txn({}, {{"a", Json(i), 0}}).status == 429;
+    EXPECT_GT(refused, 0);
+    EXPECT_LT(refused, 40);
+}
+
+INSTANTIATE_TEST_SUITE_P(Stores, Contract, ::testing::Values(Kind::memory, Kind::file, Kind::remote),
+                         [](const auto& i) {
+                             return i.param == Kind::memory ? "Memory" : i.param == Kind::file ? "File" : "Remote";
+                         });
+
+TEST(RemoteStore, AnOutageIs503AndSilenceIsNoAnswer) {
+    Rig r(Kind::remote);
+    auto s = r.easy();
+    const auto h = s.hold(0.2);
+    s.txn({}, {{"a", Json(1), h.lease}});
+    r.server->set_mood(StoreServer::Mood::out);
+    EXPECT_EQ(s.get("a").status, 503);
+    usleep(400'000); // longer than the hold
+    r.server->set_mood(StoreServer::Mood::well);
+    EXPECT_EQ(s.get("a").status, 200); // it has its full time again
+    r.server->set_mood(StoreServer::Mood::silent);
+    const auto silent = r.loop.ask(*r.store, [](auto& x, auto d) { x.get("a", 0.1, d); });
+    EXPECT_EQ(silent.status, 0);
+    EXPECT_TRUE(silent.sent); // it may have been executed
+    r.server->set_mood(StoreServer::Mood::well);
+    EXPECT_NE(s.get("a").status, 0);
+}
+
+// --- files
+
+std::unique_ptr<StateStore> open_file(Loop& l, const std::string& path) {
+    return std::make_unique<LocalStore>(&l.loop, std::make_unique<Engine>(file_data(path), Limits{}), path);
+}
+
+std::string why_not(const std::string& path) {
+    try {
+        file_data(path);
+    } catch (const StoreError& e) {
+        return e.what();
+    }
+    return "opened";
+}
+
+void sql(const std::string& path, const std::string& text) {
+    sqlite3* db = nullptr;
+    ASSERT_EQ(sqlite3_open(path.c_str(), &db), SQLITE_OK);
+    EXPECT_EQ(sqlite3_exec(db, text.c_str(), nullptr, nullptr, nullptr), SQLITE_OK) << sqlite3_errmsg(db);
+    sqlite3_close(db);
+}
+
+struct FileStore : ::testing::Test {
+    std::string path = file_name();
+    FileStore() {
+        remove_file(path);
+    }
+    ~FileStore() override {
+        remove_file(path);
+    }
+    FileStore(const FileStore&) = delete;
+    FileStore& operator=(const FileStore&) = delete;
+};
+
+TEST_F(FileStore, TwoProcessesSeeEachOther) {
+    Loop l;
+    auto one = open_file(l, path), two = open_file(l, path);
+    Easy a{l, *one}, b{l, *two};
+    const auto at = a.txn({{"office", 0}}, {{"office", Json("one"), 0}}).epoch;
+    EXPECT_EQ(b.get("office").item->value, Json("one"));
+    EXPECT_EQ(b.txn({{"office", 0}}, {{"office", Json("two"), 0}}).status, 409);
+    std::optional<Answer> got;
+    two->follow("office", at, patience_s, [&](Answer&& x) { got = std::move(x); });
+    a.txn({}, {{"office", Json("again"), 0}});
+    l.wait([&] { return got.has_value(); }, *two);
+    ASSERT_EQ(got->items.size(), 1U);
+    EXPECT_EQ(got->items[0].value, Json("again"));
+    // A hold that the one does not renew is ended by the other.
+    const auto h = a.hold(0.1);
+    a.txn({}, {{"held", Json(1), h.lease}});
+    one.reset();
+    l.wait([&] { return b.get("held").status == 404; }, *two);
+    two.reset();
+}
+
+TEST_F(FileStore, WhatCannotBeUsedIsRefusedWithTheReason) {
+    EXPECT_NE(why_not("/no/such/folder/x.db").find("unable to open"), std::string::npos);
+    std::ofstream(path) << std::string(4096, 'x');
+    EXPECT_NE(why_not(path).find("not a database"), std::string::npos);
+    remove_file(path);
+    sql(path, "CREATE TABLE theirs(x)");
+    EXPECT_NE(why_not(path).find("another program"), std::string::npos);
+    remove_file(path);
+    file_data(path);
+    sql(path, "PRAGMA user_version=99");
+    EXPECT_NE(why_not(path).find("newer version (schema 99, this one knows 2)"), std::string::npos);
+    remove_file(path);
+    {
+        auto d = file_data(path);
+        d->begin();
+        for (int i = 0; i < 2000; ++i) d->put(fmt::format("key/{}", i), {std::string(100, 'v'), 1, 0});
+        ASSERT_TRUE(d->commit());
+    }
+    std::fstream f(path, std::ios::in | std::ios::out | std::ios::binary);
+    f.seekp(40'000);
+    f << std::string(30'000, '\x5a');
+    f.close();
+    const auto why = why_not(path);
+    EXPECT_TRUE(why.find("damaged") != std::string::npos || why.find("malformed") != std::string::npos) << why;
+}
+
+TEST_F(FileStore, AnEarlierSchemaIsMigratedAndKeepsItsData) {
+    {
+        auto d = file_data(path, {true, 1, 2});
+        d->begin();
+        d->put("old", {"7", 3, 0});
+        ASSERT_TRUE(d->commit());
+    }
+    auto d = file_data(path);
+    EXPECT_EQ(d->get("old")->data, "7");
+    ASSERT_TRUE(d->changes("", 0));
+    d.reset();
+    sqlite3* db = nullptr;
+    sqlite3_open(path.c_str(), &db);
+    sqlite3_stmt* q = nullptr;
+    sqlite3_prepare_v2(db, "PRAGMA user_version", -1, &q, nullptr);
+    sqlite3_step(q);
+    EXPECT_EQ(sqlite3_column_int(q, 0), file_schema);
+    sqlite3_finalize(q);
+    sqlite3_close(db);
+}
+
+TEST_F(FileStore, AFullDiskTellsNothingAndGoesOnWhenItClears) {
+    Loop l;
+    auto store = open_file(l, path);
+    Easy s{l, *store};
+    ASSERT_EQ(s.txn({}, {{"a", Json(1), 0}}).status, 200);
+    rlimit before{};
+    getrlimit(RLIMIT_FSIZE, &before);
+    auto* const handler = std::signal(SIGXFSZ, SIG_IGN);
+    const rlimit small{64 * 1024, before.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &small);
+    int told = 0, refused = 0;
+    for (int i = 0; i < 40; ++i) {
+        const auto a = s.txn({}, {{fmt::format("k{}", i), Json(std::string(8000, 'x')), 0}});
+        told += a.status == 200;
+        refused += a.status == 503 || a.status == 0;
+        EXPECT_EQ(a.status == 200, a.error.empty());
+    }
+    EXPECT_EQ(told + refused, 40);
+    EXPECT_GT(refused, 0);
+    setrlimit(RLIMIT_FSIZE, &before);
+    std::signal(SIGXFSZ, handler);
+    EXPECT_EQ(s.txn({}, {{"b", Json(2), 0}}).status, 200);
+    store.reset();
+    auto d = file_data(path);
+    int kept = 0;
+    d->each("k", "", [&](const auto&, const auto&) { return ++kept, true; });
+    EXPECT_GE(kept, told);
+    EXPECT_TRUE(d->get("b"));
+}
+
+TEST_F(FileStore, AFileRemovedBeneathItTakesNothingMore) {
+    Loop l;
+    auto store = open_file(l, path);
+    Easy s{l, *store};
+    ASSERT_EQ(s.txn({}, {{"a", Json(1), 0}}).status, 200);
+    const auto aside = path + ".aside";
+    std::rename(path.c_str(), aside.c_str());
+    const auto gone = s.txn({}, {{"a", Json(2), 0}});
+    EXPECT_EQ(gone.status, 503);
+    EXPECT_NE(gone.error.find("removed or replaced"), std::string::npos);
+    std::ofstream(path) << "not the file";
+    EXPECT_EQ(s.get("a").status, 503);
+    std::rename(aside.c_str(), path.c_str());
+    EXPECT_EQ(s.get("a").item->value, Json(1)); // back, and as it was
+    EXPECT_EQ(s.txn({}, {{"a", Json(3), 0}}).status, 200);
+}
+
+TEST_F(FileStore, ABackupIsWholeAndOverwritesNothing) {
+    Loop l;
+    auto store = open_file(l, path);
+    Easy s{l, *store};
+    s.txn({}, {{"a", Json(1), 0}});
+    const auto copy = path + ".copy";
+    remove_file(copy);
+    back_up(path, copy);
+    s.txn({}, {{"a", Json(2), 0}});
+    EXPECT_EQ(file_data(copy)->get("a")->data, "1");
+    EXPECT_THROW(back_up(path, copy), StoreError);
+    remove_file(copy);
+    EXPECT_THROW(back_up(path + ".none", copy), StoreError);
+}
+
+// A child stores one number after the other and says each that was answered; it is killed at any
+// moment. What was said is there, and nothing was skipped.
+TEST_F(FileStore, WhatWasAnsweredSurvivesAKill) {
+    std::mt19937 rng(20261201);
+    std::uint32_t last = 0;
+    for (int round = 0; round < 25; ++round) {
+        int out[2];
+        ASSERT_EQ(pipe(out), 0);
+        const auto child = fork();
+        if (child == 0) {
+            close(out[0]);
+            Engine e(file_data(path), {});
+            for (;;) {
+                e.data().begin();
+                const auto row = e.data().get("n");
+                const std::uint32_t n = row ? static_cast<std::uint32_t>(std::stoul(row->data)) + 1 : 1;
+                const auto a = e.transact({{"n", row ? row->stamp : 0}}, {{"n", Json(n), 0}}, 0);
+                if (a.status != 200 || !e.data().commit() || write(out[1], &n, sizeof n) != sizeof n) _exit(1);
+            }
+        }
+        close(out[1]);
+        std::uint32_t said = 0, n = 0;
+        const auto stop_after = last + std::uniform_int_distribution<std::uint32_t>(1, 20)(rng);
+        while (read(out[0], &n, sizeof n) == sizeof n) {
+            EXPECT_EQ(n, std::max(said, last) + 1);
+            said = n;
+            if (n < stop_after) continue;
+            usleep(std::uniform_int_distribution<useconds_t>(0, 3000)(rng));
+            kill(child, SIGKILL);
+            break;
+        }
+        while (read(out[0], &n, sizeof n) == sizeof n) said = n; // said before it died
+        close(out[0]);
+        int status = 0;
+        waitpid(child, &status, 0);
+        ASSERT_TRUE(WIFSIGNALED(status));
+        const auto row = file_data(path)->get("n");
+        ASSERT_TRUE(row);
+        last = static_cast<std::uint32_t>(std::stoul(row->data));
+        EXPECT_GE(last, said);
+        EXPECT_LE(last, said + 1); // stored, and killed before it was said
+    }
+}
+
+} // namespace
+} // namespace heronshift::store
