--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -2,6 +2,8 @@
 #include "heronshift/config.hpp"
 #include "heronshift/node.hpp"
 #include "heronshift/replay/command_log.hpp"
+#include "heronshift/store/file_data.hpp"
+#include "heronshift/store/local.hpp"
 #include "heronshift/version.hpp"
 
 #include <CLI/CLI.hpp>
@@ -14,6 +16,8 @@
 
 namespace {
 
+namespace store = heronshift::store;
+
 void set_up_log() {
     auto log = spdlog::stderr_logger_st("heronshift");
     log->set_pattern("%L %v");
@@ -29,10 +33,16 @@
     return s;
 }
 
-int run(heronshift::Settings s, std::unique_ptr<heronshift::replay::CommandLog> log) {
+int run(heronshift::Settings s, std::unique_ptr<heronshift::replay::CommandLog> log, const std::string& state_file) {
     std::signal(SIGPIPE, SIG_IGN);
     auto* loop = uv_default_loop();
-    heronshift::Node node(loop, std::move(s));
+    std::unique_ptr<store::StateStore> state;
+    if (!state_file.empty()) {
+        const store::Limits limits{0, 0, s.txn_ops, s.value_kb};
+        state = std::make_unique<store::LocalStore>(
+            loop, std::make_unique<store::Engine>(store::file_data(state_file), limits), state_file);
+    }
+    heronshift::Node node(loop, std::move(s), std::move(state));
     if (log) node.record(std::move(log));
     if (const int e = node.start(); e != 0) {
         spdlog::error("cannot listen: {}", uv_strerror(e));
@@ -85,7 +95,7 @@
     app.add_option("--operators", operators, "the operators' own settings (S-expressions), optional");
     auto* check = app.add_subcommand("check", "validate the settings and print what is in force");
     check->fallthrough();
-    std::string command_log, replay_file;
+    std::string command_log, replay_file, state_file, backup_from, backup_to;
     double command_log_mb = 1024;
     bool allow_cut = false;
     app.add_option("--command-log", command_log,
@@ -93,10 +103,23 @@
     app.add_option("--command-log-mb", command_log_mb, "the record's bound, before compression")
         ->check(CLI::Range(1.0, 1e6))
         ->capture_default_str();
+    app.add_option("--state-file", state_file, "keep state in this file (SQLite) instead of the state service");
+    auto* backup_verb = app.add_subcommand("backup", "copy a state file, also while it is in use");
+    backup_verb->add_option("FILE", backup_from, "the state file")->required();
+    backup_verb->add_option("TO", backup_to, "the copy, which must not exist")->required();
     auto* replay_verb = app.add_subcommand("replay", "run a command log again and name the first difference");
     replay_verb->add_option("FILE", replay_file, "a command log")->required();
     replay_verb->add_flag("--allow-cut", allow_cut, "accept a log whose writer was killed");
     CLI11_PARSE(app, argc, argv);
+    if (backup_verb->parsed()) {
+        try {
+            store::back_up(backup_from, backup_to);
+            return 0;
+        } catch (const store::StoreError& e) {
+            std::cerr << "heronshift: " << e.what() << "\n";
+            return 2;
+        }
+    }
     if (replay_verb->parsed()) return replay(replay_file, allow_cut);
     if (config.empty()) {
         std::cerr << "heronshift: --config is required\n";
@@ -113,7 +136,10 @@
         if (!command_log.empty())
             log = std::make_unique<heronshift::replay::CommandLog>(command_log,
                                                                    static_cast<std::uint64_t>(command_log_mb * 1e6));
-        return run(std::move(s), std::move(log));
+        return run(std::move(s), std::move(log), state_file);
+    } catch (const store::StoreError& e) {
+        std::cerr << "heronshift: --state-file: " << e.what() << "\n";
+        return 2;
     } catch (const heronshift::replay::LogError& e) {
         std::cerr << "heronshift: --command-log: " << e.what() << "\n";
         return 2;
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -4,6 +4,7 @@
 #include "heronshift/core/core.hpp"
 #include "heronshift/http.hpp"
 #include "heronshift/replay/command_log.hpp"
+#include "heronshift/store/store.hpp"
 #include "heronshift/tenancy.hpp"
 
 #include <map>
@@ -28,7 +29,8 @@
 
 class Node {
 public:
-    Node(uv_loop_t* loop, Settings settings);
+    // No store: the state service that the settings name.
+    Node(uv_loop_t* loop, Settings settings, std::unique_ptr<store::StateStore> state = nullptr);
     ~Node();
     Node(const Node&) = delete;
     Node& operator=(const Node&) = delete;
@@ -49,7 +51,7 @@
 
     // office.cpp: leadership
     void watch_office();
-    void office_seen(const HttpReply& r);
+    void office_seen(const store::Answer& r);
     void ask_for_holder();
     void acquire();
     void load(const std::string& prefix, const std::string& since, std::vector<codec::Item>* into,
@@ -100,8 +102,17 @@
     void learn_types();
     [[nodiscard]] std::string impossible(const JobSpec& s) const;
 
-    void store_request(const char* method, const std::string& path, std::string body, double timeout_s,
-                       HttpClient::Callback done);
+    store::Callback watched(store::Callback done); // notes whether the store answers this node
+    void get(const std::string& key, double timeout_s, store::Callback done) {
+        store_->get(key, timeout_s, watched(std::move(done)));
+    }
+    void transact(const std::vector<codec::Guard>& guards, const std::vector<codec::Write>& writes, double timeout_s,
+                  store::Callback done) {
+        store_->transact(guards, writes, timeout_s, watched(std::move(done)));
+    }
+    void end_hold(std::uint64_t hold, double timeout_s, store::Callback done) {
+        store_->end_hold(hold, timeout_s, watched(std::move(done)));
+    }
     void cloud_pump();
     void cloud_request(const char* method, std::string path, std::string body, HttpClient::Callback done);
     void list_machines(const std::string& since);
@@ -120,7 +131,8 @@
     uv_check_t check_{};
     uv_idle_t idle_{};
     std::unique_ptr<HttpServer> users_, peers_;
-    HttpClient store_, follow_, cloud_, agents_, peer_client_;
+    std::unique_ptr<store::StateStore> store_;
+    HttpClient cloud_, agents_, peer_client_;
     RateBudget store_budget_, submit_budget_, cloud_budget_;
 
     Office office_ = Office::standby;
--- a/include/heronshift/store/store.hpp
+++ b/include/heronshift/store/store.hpp
@@ -3,7 +3,8 @@
 // caller serves every implementation:
 //   200 done; 404 no such key or hold; 409 a guard failed (the transaction did nothing); 400 not
 //   allowed, error says why; 410 the changes asked for are no longer kept; 429 above the limits;
-//   503 surely not executed; 0 no answer: it may have been executed, or may be later, if sent.
+//   503 surely not executed; 0 no answer: it may have been executed, or may be later, if sent;
+//   502 an answer that cannot be read: it may have been executed.
 #pragma once
 
 #include "heronshift/codec.hpp"
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1,5 +1,7 @@
 #include "heronshift/node.hpp"
 
+#include "heronshift/store/remote.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <fmt/format.h>
@@ -20,10 +22,6 @@
     return codec::Json{{"error", what}}.dump(-1, ' ', false, codec::Json::error_handler_t::replace);
 }
 
-std::string read_path(const std::string& key) {
-    return std::string(codec::path_store) + "/" + key;
-}
-
 } // namespace
 
 bool RateBudget::would_take(double now, double n) {
@@ -38,8 +36,9 @@
     return true;
 }
 
-Node::Node(uv_loop_t* loop, Settings settings)
-    : s_(std::move(settings)), loop_(loop), store_(loop, 8, 200), follow_(loop, 2, 4), cloud_(loop, 2, 16),
+Node::Node(uv_loop_t* loop, Settings settings, std::unique_ptr<store::StateStore> state)
+    : s_(std::move(settings)), loop_(loop),
+      store_(state ? std::move(state) : std::make_unique<store::RemoteStore>(loop, s_.state)), cloud_(loop, 2, 16),
       agents_(loop, 1, 4), peer_client_(loop, 8, 64),
       // What a user's read may take when this node is alone with the store.
       store_budget_(s_.state_rps / 4, s_.state_rps / 6), submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
@@ -125,8 +124,7 @@
 }
 
 void Node::tick() {
-    store_.sweep();
-    follow_.sweep();
+    store_->sweep();
     cloud_.sweep();
     agents_.sweep();
     peer_client_.sweep();
@@ -292,16 +290,14 @@
     }
 }
 
-void Node::store_request(const char* method, const std::string& path, std::string body, double timeout_s,
-                         HttpClient::Callback done) {
-    store_.request(s_.state.str(), method, path, std::move(body), timeout_s,
-                   [this, done = std::move(done)](HttpReply&& r) {
-                       if (r.status == 503 || (r.status == 0 && r.sent))
-                           store_fails_ = true;
-                       else if (r.status != 0)
-                           store_fails_ = false;
-                       done(std::move(r));
-                   });
+store::Callback Node::watched(store::Callback done) {
+    return [this, done = std::move(done)](store::Answer&& r) {
+        if (r.status == 503 || (r.status == 0 && r.sent))
+            store_fails_ = true;
+        else if (r.status != 0)
+            store_fails_ = false;
+        done(std::move(r));
+    };
 }
 
 void Node::cloud_request(const char* method, std::string path, std::string body, HttpClient::Callback done) {
@@ -365,18 +361,15 @@
             push(TypesKnown{types_});
             arm();
         }
-        if (first)
-            store_request("POST", std::string(codec::path_txn),
-                          codec::txn({{"types", 0}}, {{"types", codec::types_to_json(types_), 0}}), 1,
-                          [](HttpReply&&) {});
+        if (first) transact({{"types", 0}}, {{"types", codec::types_to_json(types_), 0}}, 1, [](store::Answer&&) {});
     };
     auto from_cloud = [this, learned] {
         cloud_.request(s_.cloud.str(), "GET", std::string(codec::path_types), "", s_.report_s * 2, learned);
     };
     if (!types_.empty()) return from_cloud();
-    store_request("GET", read_path("types"), "", s_.report_s / 2, [this, learned, from_cloud](HttpReply&& r) {
-        if (const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt; item) {
-            if (auto types = codec::machine_types(item->value.dump()); types) {
+    get("types", s_.report_s / 2, [this, learned, from_cloud](store::Answer&& r) {
+        if (r.item) {
+            if (auto types = codec::machine_types(r.item->value.dump()); types) {
                 learning_types_ = false;
                 types_ = std::move(*types);
                 types_at_ = now();
@@ -471,20 +464,19 @@
         return done({});
     }
     ++lookups_;
-    store_request("GET", read_path("j/" + id), "", s_.report_s / 3, [this, id, done](HttpReply&& r) {
+    get("j/" + id, s_.report_s / 3, [this, id, done](store::Answer&& r) {
         Found f;
-        if (r.status == 200) f.job = codec::item(r.body);
+        f.job = std::move(r.item);
         if (r.status != 404 && !f.job) {
             --lookups_;
             return done({});
         }
         // The final state is read last: it is never taken back, and it is there before the job's
         // record goes.
-        store_request("GET", read_path("f/" + id), "", s_.report_s / 3, [this, done, f](HttpReply&& q) mutable {
+        get("f/" + id, s_.report_s / 3, [this, done, f](store::Answer&& q) mutable {
             --lookups_;
             if (q.status == 200) {
-                const auto item = codec::item(q.body);
-                const auto final = item ? codec::stored_final(item->value) : std::nullopt;
+                const auto final = q.item ? codec::stored_final(q.item->value) : std::nullopt;
                 if (!final) return done({});
                 f.status = final->status;
                 f.service = final->service;
@@ -636,45 +628,45 @@
 void Node::store_job(JobSpec spec, HttpRequest&& request, Responder res, bool forwarded, int tries) {
     const double at = wall();
     const bool waits = !spec.needs.empty();
-    const auto body = codec::txn({{"j/" + spec.id, 0}, {"f/" + spec.id, 0}},
-                                 {{"j/" + spec.id, codec::to_record({spec, at, -1, waits, {}}), 0}});
+    const std::vector<codec::Guard> guards{{"j/" + spec.id, 0}, {"f/" + spec.id, 0}};
+    const std::vector<codec::Write> writes{{"j/" + spec.id, codec::to_record({spec, at, -1, waits, {}}), 0}};
     // Where the store does not answer this node, another may still be served within the user's time.
     const double patience = forwarded ? s_.report_s / 2 : s_.report_s / 10;
-    store_request("POST", std::string(codec::path_txn), body, patience,
-                  [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries, at,
-                   waits](HttpReply&& r) mutable {
-                      const auto id = spec.id;
-                      if (r.status == 200) {
-                          if (spec.shape != Shape::service) remember_accepted(id);
-                          if (core_ && office_ == Office::held) {
-                              push(JobStored{std::move(spec), std::max(0.0, wall() - at), -1, waits});
-                              arm();
-                          }
-                          return res.send(201, codec::job_answer(id, codec::status_pending));
-                      }
-                      if (r.status == 409) {
-                          return look_up(id, [id, res](Found f) {
-                              if (!f.known || f.status.empty()) return res.send(503, not_now, retry_soon_s);
-                              res.send(200, codec::job_answer(id, f.status));
-                          });
-                      }
-                      // The budget is shared: a moment later there may be room.
-                      if (r.status == 429 && tries < 3) {
-                          after(0.05 * (1 + tries), [this, spec = std::move(spec), request = std::move(request), res,
-                                                     forwarded, tries]() mutable {
-                              store_job(std::move(spec), std::move(request), res, forwarded, tries + 1);
-                          });
-                          return;
-                      }
-                      const auto refuse = [this, id, status = r.status](const Responder& x) {
-                          ++refused_;
-                          spdlog::debug("submission of {} refused, the store said {}", id, status);
-                          x.send(503, not_now, retry_soon_s);
-                      };
-                      // A process of the version before would take a chained job for one that may start.
-                      if (forwarded || waits || r.status == 429) return refuse(res);
-                      forward(std::move(request), res, refuse);
-                  });
+    transact(guards, writes, patience,
+             [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries, at,
+              waits](store::Answer&& r) mutable {
+                 const auto id = spec.id;
+                 if (r.status == 200) {
+                     if (spec.shape != Shape::service) remember_accepted(id);
+                     if (core_ && office_ == Office::held) {
+                         push(JobStored{std::move(spec), std::max(0.0, wall() - at), -1, waits});
+                         arm();
+                     }
+                     return res.send(201, codec::job_answer(id, codec::status_pending));
+                 }
+                 if (r.status == 409) {
+                     return look_up(id, [id, res](Found f) {
+                         if (!f.known || f.status.empty()) return res.send(503, not_now, retry_soon_s);
+                         res.send(200, codec::job_answer(id, f.status));
+                     });
+                 }
+                 // The budget is shared: a moment later there may be room.
+                 if (r.status == 429 && tries < 3) {
+                     after(0.05 * (1 + tries), [this, spec = std::move(spec), request = std::move(request), res,
+                                                forwarded, tries]() mutable {
+                         store_job(std::move(spec), std::move(request), res, forwarded, tries + 1);
+                     });
+                     return;
+                 }
+                 const auto refuse = [this, id, status = r.status](const Responder& x) {
+                     ++refused_;
+                     spdlog::debug("submission of {} refused, the store said {}", id, status);
+                     x.send(503, not_now, retry_soon_s);
+                 };
+                 // A process of the version before would take a chained job for one that may start.
+                 if (forwarded || waits || r.status == 429) return refuse(res);
+                 forward(std::move(request), res, refuse);
+             });
 }
 
 } // namespace heronshift
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -12,10 +12,7 @@
 constexpr const char* round_key = "round";
 constexpr const char* peer_promise = "/peer/promise";
 constexpr const char* peer_office = "/peer/office";
-
-std::string read_path(const std::string& key) {
-    return std::string(codec::path_store) + "/" + key;
-}
+constexpr int records_a_page = 500;
 
 } // namespace
 
@@ -23,13 +20,13 @@
 void Node::watch_office() {
     if (office_ != Office::standby) return;
     const auto gen = generation_;
-    store_request("GET", read_path(office_key), "", s_.report_s / 2, [this, gen](HttpReply&& r) {
+    get(office_key, s_.report_s / 2, [this, gen](store::Answer&& r) {
         if (gen != generation_ || office_ != Office::standby) return;
         office_seen(r);
     });
 }
 
-void Node::office_seen(const HttpReply& r) {
+void Node::office_seen(const store::Answer& r) {
     const auto gen = generation_;
     auto again = [this, gen](double delay) {
         after(delay, [this, gen] {
@@ -45,7 +42,7 @@
         acquire();
         return;
     }
-    const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt;
+    const auto& item = r.item;
     if (!item || !item->value.is_object()) {
         ask_for_holder();
         return again(s_.report_s / 6);
@@ -56,21 +53,17 @@
         const auto hold = item->value.value("hold", std::uint64_t{0});
         tenancy_.found_own_name();
         spdlog::info("the office is held by an earlier process of this node, ending its hold {}", hold);
-        store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold), "", s_.report_s / 2,
-                      [again](HttpReply&&) { again(0.01); });
+        end_hold(hold, s_.report_s / 2, [again](store::Answer&&) { again(0.01); });
         return;
     }
     if (name != holder_) spdlog::info("the office is held by {}", name);
     holder_ = name;
     office_term_ = item->value.value("term", std::uint64_t{0});
     const double block = s_.report_s;
-    follow_.request(s_.state.str(), "GET",
-                    fmt::format("{}?under={}&since={}&blockMs={}", codec::path_follow, office_key, item->stamp,
-                                static_cast<int>(block * 1000)),
-                    "", block + 2, [this, gen, again](HttpReply&& f) {
-                        if (gen != generation_) return;
-                        again(f.status == 200 ? 0 : s_.report_s / 6);
-                    });
+    store_->follow(office_key, item->stamp, block, [this, gen, again](store::Answer&& f) {
+        if (gen != generation_) return;
+        again(f.status == 200 ? 0 : s_.report_s / 6);
+    });
 }
 
 // While the store does not answer this node, the others may know who holds the office. It is only a
@@ -96,8 +89,7 @@
     auto fail = [this, gen] {
         if (gen != generation_) return;
         spdlog::debug("the office was not to be had");
-        if (hold_ != 0)
-            store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold_), "", 1, [](HttpReply&&) {});
+        if (hold_ != 0) end_hold(hold_, 1, [](store::Answer&&) {});
         office_ = Office::standby;
         ++generation_;
         after(s_.report_s / 10, [this, g = generation_] {
@@ -105,66 +97,58 @@
         });
     };
     hold_sent_ = now();
-    store_request(
-        "POST", std::string(codec::path_holds), codec::hold_request(tenancy_.ttl_s()), 1,
-        [this, gen, fail](HttpReply&& r) {
-            if (gen != generation_) return;
-            const auto hold = r.status == 200 ? codec::hold_of(r.body) : std::nullopt;
-            if (!hold) return fail();
-            hold_ = *hold;
-            store_request("GET", read_path(round_key), "", 1, [this, gen, fail](HttpReply&& q) {
-                if (gen != generation_) return;
-                std::uint64_t term = 0, stamp = 0;
-                if (q.status == 200) {
-                    const auto item = codec::item(q.body);
-                    if (!item || !item->value.is_object()) return fail();
-                    term = item->value.value("term", std::uint64_t{0});
-                    stamp = item->stamp;
-                } else if (q.status != 404) {
-                    return fail();
-                }
-                term_ = term + 1;
-                const auto body =
-                    codec::txn({{office_key, 0}, {round_key, stamp}},
-                               {{office_key, Json{{"node", s_.name}, {"hold", hold_}, {"term", term_}}, hold_},
-                                {round_key, Json{{"term", term_}, {"n", 0}}, 0}});
-                store_request("POST", std::string(codec::path_txn), body, 1, [this, gen, fail](HttpReply&& t) {
-                    if (t.status == 0 && t.sent) tenancy_.attempt_unresolved();
-                    if (gen != generation_) return;
-                    const auto epoch = t.status == 200 ? codec::epoch_of(t.body) : std::nullopt;
-                    if (!epoch) return fail();
-                    office_stamp_ = round_stamp_ = *epoch;
-                    round_seq_ = 0;
-                    take_office();
-                });
-            });
-        });
+    store_->hold(tenancy_.ttl_s(), 1, watched([this, gen, fail](store::Answer&& r) {
+                     if (gen != generation_) return;
+                     if (r.status != 200) return fail();
+                     hold_ = r.lease;
+                     get(round_key, 1, [this, gen, fail](store::Answer&& q) {
+                         if (gen != generation_) return;
+                         std::uint64_t term = 0, stamp = 0;
+                         if (q.status == 200) {
+                             if (!q.item || !q.item->value.is_object()) return fail();
+                             term = q.item->value.value("term", std::uint64_t{0});
+                             stamp = q.item->stamp;
+                         } else if (q.status != 404) {
+                             return fail();
+                         }
+                         term_ = term + 1;
+                         transact({{office_key, 0}, {round_key, stamp}},
+                                  {{office_key, Json{{"node", s_.name}, {"hold", hold_}, {"term", term_}}, hold_},
+                                   {round_key, Json{{"term", term_}, {"n", 0}}, 0}},
+                                  1, [this, gen, fail](store::Answer&& t) {
+                                      // An answer that cannot be read settles nothing either.
+                                      if ((t.status == 0 && t.sent) || t.status == 502) tenancy_.attempt_unresolved();
+                                      if (gen != generation_) return;
+                                      if (t.status != 200) return fail();
+                                      office_stamp_ = round_stamp_ = t.epoch;
+                                      round_seq_ = 0;
+                                      take_office();
+                                  });
+                     });
+                 }));
 }
 
 // Reads everything below a prefix, page by page.
 void Node::load(const std::string& prefix, const std::string& since, std::vector<codec::Item>* into,
                 std::function<void()> next) {
     const auto gen = generation_;
-    auto path = fmt::format("{}?under={}&most=500", codec::path_store, prefix);
-    if (!since.empty()) path += "&since=" + since;
-    store_request("GET", path, "", 2, [=, this](HttpReply&& r) {
-        if (gen != generation_) return;
-        auto page = r.status == 200 ? codec::page(r.body) : std::nullopt;
-        if (!page) {
-            after(s_.report_s / 10, [=, this] {
-                if (gen == generation_) load(prefix, since, into, next);
-            });
-            return;
-        }
-        if (prefix == "j/" && since.empty()) follow_epoch_ = page->epoch;
-        std::string last;
-        for (auto& i : page->items) {
-            last = i.key;
-            into->push_back(std::move(i));
-        }
-        if (page->more && !last.empty()) return load(prefix, last, into, next);
-        next();
-    });
+    store_->list(prefix, since, records_a_page, 2, watched([=, this](store::Answer&& page) {
+                     if (gen != generation_) return;
+                     if (page.status != 200) {
+                         after(s_.report_s / 10, [=, this] {
+                             if (gen == generation_) load(prefix, since, into, next);
+                         });
+                         return;
+                     }
+                     if (prefix == "j/" && since.empty()) follow_epoch_ = page.epoch;
+                     std::string last;
+                     for (auto& i : page.items) {
+                         last = i.key;
+                         into->push_back(std::move(i));
+                     }
+                     if (page.more && !last.empty()) return load(prefix, last, into, next);
+                     next();
+                 }));
 }
 
 void Node::take_office() {
@@ -209,14 +193,13 @@
     const auto gen = generation_;
     const double sent = now(), ttl = tenancy_.ttl_s();
     next_renew_ = sent + ttl / 6;
-    store_request("POST", fmt::format("{}/{}/{}", codec::path_holds, hold_, codec::suffix_extend), "{}", ttl / 5,
-                  [this, gen, sent](HttpReply&& r) {
-                      if (gen != generation_) return;
-                      if (r.status == 200)
-                          tenancy_.hold_extended(sent);
-                      else if (r.status == 404)
-                          step_down("the hold has ended");
-                  });
+    store_->extend(hold_, ttl / 5, watched([this, gen, sent](store::Answer&& r) {
+                       if (gen != generation_) return;
+                       if (r.status == 200)
+                           tenancy_.hold_extended(sent);
+                       else if (r.status == 404)
+                           step_down("the hold has ended");
+                   }));
     if (office_ != Office::held || !tenancy_.wants_promises(sent)) return;
     const auto body = Json{{"node", s_.name}, {"term", term_}, {"forS", tenancy_.promise_s()}}.dump();
     for (const auto& p : s_.peers)
@@ -235,7 +218,7 @@
     const auto j = codec::parse(r.body);
     const auto length = j.is_object() && j.contains("forS") && j["forS"].is_number() ? j["forS"].get<double>() : -1;
     if (!(length > 0)) return res.send(400, R"({"error":"forS is needed"})");
-    store_request("GET", read_path(office_key), "", tenancy_.ttl_s() / 10, [this, res, length](HttpReply&& a) {
+    get(office_key, tenancy_.ttl_s() / 10, [this, res, length](store::Answer&& a) {
         const bool failed = a.status == 503 || a.status == 0;
         tenancy_.store_read(!failed, now());
         if (tenancy_.promise(length, now(), office_ == Office::standby, failed)) return res.send(200, "{}");
@@ -246,7 +229,7 @@
 void Node::step_down(const std::string& why) {
     if (office_ == Office::standby) return;
     spdlog::warn("term {} ends here: {}", term_, why);
-    if (hold_ != 0) store_request("DELETE", fmt::format("{}/{}", codec::path_holds, hold_), "", 1, [](HttpReply&&) {});
+    if (hold_ != 0) end_hold(hold_, 1, [](store::Answer&&) {});
     ++generation_;
     office_ = Office::standby;
     tenancy_.begin();
@@ -268,38 +251,33 @@
 void Node::follow_jobs() {
     const auto gen = generation_;
     const double block = s_.lease_s / 2;
-    follow_.request(s_.state.str(), "GET",
-                    fmt::format("{}?under=j/&since={}&blockMs={}", codec::path_follow, follow_epoch_,
-                                static_cast<int>(block * 1000)),
-                    "", block + 2, [this, gen](HttpReply&& r) {
-                        if (gen != generation_ || !core_) return;
-                        auto again = [this, gen](double delay) {
-                            after(delay, [this, gen] {
-                                if (gen == generation_) follow_jobs();
-                            });
-                        };
-                        if (r.status == 410) { // too far behind: everything is read again
-                            snapshot_ = {};
-                            load("j/", "", &snapshot_.jobs, [this, again] {
-                                for (auto& i : snapshot_.jobs)
-                                    if (auto j = codec::stored_job(i.value, wall()); j)
-                                        push(job_stored(std::move(*j), wall()));
-                                snapshot_ = {};
-                                arm();
-                                again(0);
-                            });
-                            return;
-                        }
-                        auto page = r.status == 200 ? codec::events(r.body) : std::nullopt;
-                        if (!page) return again(s_.report_s / 10);
-                        follow_epoch_ = std::max(follow_epoch_, page->epoch);
-                        for (auto& i : page->items) {
-                            if (i.deleted) continue;
-                            if (auto j = codec::stored_job(i.value, wall()); j) push(job_stored(std::move(*j), wall()));
-                        }
-                        arm();
-                        again(0);
-                    });
+    store_->follow("j/", follow_epoch_, block, [this, gen](store::Answer&& r) {
+        if (gen != generation_ || !core_) return;
+        auto again = [this, gen](double delay) {
+            after(delay, [this, gen] {
+                if (gen == generation_) follow_jobs();
+            });
+        };
+        if (r.status == 410) { // too far behind: everything is read again
+            snapshot_ = {};
+            load("j/", "", &snapshot_.jobs, [this, again] {
+                for (auto& i : snapshot_.jobs)
+                    if (auto j = codec::stored_job(i.value, wall()); j) push(job_stored(std::move(*j), wall()));
+                snapshot_ = {};
+                arm();
+                again(0);
+            });
+            return;
+        }
+        if (r.status != 200) return again(s_.report_s / 10);
+        follow_epoch_ = std::max(follow_epoch_, r.epoch);
+        for (auto& i : r.items) {
+            if (i.deleted) continue;
+            if (auto j = codec::stored_job(i.value, wall()); j) push(job_stored(std::move(*j), wall()));
+        }
+        arm();
+        again(0);
+    });
 }
 
 // Every transaction of a term guards the office and continues the round's count, so that each
@@ -308,57 +286,52 @@
     const auto gen = generation_;
     auto writes = c.writes;
     writes.push_back({round_key, Json{{"term", term_}, {"n", round_seq_ + 1}}, 0});
-    const auto body = codec::txn({{office_key, office_stamp_}, {round_key, round_stamp_}}, writes);
-    store_request("POST", std::string(codec::path_txn), body, s_.report_s / 3,
-                  [this, gen, c = std::move(c), tries](HttpReply&& r) mutable {
-                      if (gen != generation_ || !core_) return;
-                      const auto epoch = r.status == 200 ? codec::epoch_of(r.body) : std::nullopt;
-                      if (epoch) {
-                          round_stamp_ = *epoch;
-                          ++round_seq_;
-                          push(Committed{TxnOutcome::applied});
-                          return arm();
-                      }
-                      if ((r.status == 429 || r.status == 503 || r.status == 400) && tries == 0) {
-                          // Surely not executed.
-                          if (r.status == 400)
-                              spdlog::error("the state service calls a transaction malformed: {}", r.body);
-                          const auto outcome = r.status == 400 ? TxnOutcome::too_large : TxnOutcome::refused;
-                          after(s_.report_s / 20, [this, gen, outcome] {
-                              if (gen != generation_) return;
-                              push(Committed{outcome});
-                              arm();
-                          });
-                          return;
-                      }
-                      resolve_commit(std::move(c), tries + 1);
-                  });
+    transact({{office_key, office_stamp_}, {round_key, round_stamp_}}, writes, s_.report_s / 3,
+             [this, gen, c = std::move(c), tries](store::Answer&& r) mutable {
+                 if (gen != generation_ || !core_) return;
+                 if (r.status == 200) {
+                     round_stamp_ = r.epoch;
+                     ++round_seq_;
+                     push(Committed{TxnOutcome::applied});
+                     return arm();
+                 }
+                 if ((r.status == 429 || r.status == 503 || r.status == 400) && tries == 0) {
+                     // Surely not executed.
+                     if (r.status == 400) spdlog::error("the state service calls a transaction malformed: {}", r.error);
+                     const auto outcome = r.status == 400 ? TxnOutcome::too_large : TxnOutcome::refused;
+                     after(s_.report_s / 20, [this, gen, outcome] {
+                         if (gen != generation_) return;
+                         push(Committed{outcome});
+                         arm();
+                     });
+                     return;
+                 }
+                 resolve_commit(std::move(c), tries + 1);
+             });
 }
 
 // The outcome is open, or a guard failed: the round says whether the transaction was applied.
 void Node::resolve_commit(Commit c, int tries) {
     const auto gen = generation_;
-    store_request("GET", read_path(round_key), "", s_.report_s / 3,
-                  [this, gen, c = std::move(c), tries](HttpReply&& r) mutable {
-                      if (gen != generation_ || !core_) return;
-                      const auto item = r.status == 200 ? codec::item(r.body) : std::nullopt;
-                      if (!item || !item->value.is_object()) {
-                          after(s_.report_s / 10, [this, gen, c = std::move(c), tries]() mutable {
-                              if (gen == generation_) resolve_commit(std::move(c), tries);
-                          });
-                          return;
-                      }
-                      if (item->value.value("term", std::uint64_t{0}) != term_)
-                          return step_down("another term has begun");
-                      if (item->value.value("n", std::uint64_t{0}) == round_seq_ + 1) {
-                          round_stamp_ = item->stamp;
-                          ++round_seq_;
-                          push(Committed{TxnOutcome::applied});
-                          return arm();
-                      }
-                      if (tries > 3 && office_ == Office::held && !valid()) return step_down("no office and no answer");
-                      commit(std::move(c), tries);
-                  });
+    get(round_key, s_.report_s / 3, [this, gen, c = std::move(c), tries](store::Answer&& r) mutable {
+        if (gen != generation_ || !core_) return;
+        const auto& item = r.item;
+        if (!item || !item->value.is_object()) {
+            after(s_.report_s / 10, [this, gen, c = std::move(c), tries]() mutable {
+                if (gen == generation_) resolve_commit(std::move(c), tries);
+            });
+            return;
+        }
+        if (item->value.value("term", std::uint64_t{0}) != term_) return step_down("another term has begun");
+        if (item->value.value("n", std::uint64_t{0}) == round_seq_ + 1) {
+            round_stamp_ = item->stamp;
+            ++round_seq_;
+            push(Committed{TxnOutcome::applied});
+            return arm();
+        }
+        if (tries > 3 && office_ == Office::held && !valid()) return step_down("no office and no answer");
+        commit(std::move(c), tries);
+    });
 }
 
 } // namespace heronshift
--- a/src/store/remote.cpp
+++ b/src/store/remote.cpp
@@ -10,7 +10,7 @@
 
 // An answer that cannot be read is none: what was asked for may have been done.
 void unreadable(Answer& a) {
-    a.status = 0;
+    a.status = 502;
     a.error = "an answer that cannot be read";
 }
 
