--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -1,5 +1,6 @@
 // The daemon: reads its settings and runs one controller until it is killed.
 #include "heronshift/config.hpp"
+#include "heronshift/local/local.hpp"
 #include "heronshift/node.hpp"
 #include "heronshift/replay/command_log.hpp"
 #include "heronshift/store/file_data.hpp"
@@ -103,6 +104,18 @@
     app.add_option("--command-log-mb", command_log_mb, "the record's bound, before compression")
         ->check(CLI::Range(1.0, 1e6))
         ->capture_default_str();
+    heronshift::local::LocalOptions local;
+    auto* local_verb = app.add_subcommand("local", "a platform on loopback to try it on: one command, no settings");
+    local_verb->add_option("--seconds", local.seconds, "in which jobs are submitted")
+        ->check(CLI::Range(5.0, 3600.0))
+        ->capture_default_str();
+    local_verb->add_option("--jobs", local.jobs, "how many, besides a pipeline of three")
+        ->check(CLI::Range(1, 2000))
+        ->capture_default_str();
+    local_verb->add_option("--seed", local.seed, "of load and troubles")->capture_default_str();
+    local_verb->add_flag("--faults", local.faults, "kill, cut, hang and silence things now and then");
+    local_verb->add_option("--folder", local.folder, "for settings and logs");
+    local_verb->add_flag("--stay", local.stay, "go on serving after the load, until interrupted");
     app.add_option("--state-file", state_file, "keep state in this file (SQLite) instead of the state service");
     auto* backup_verb = app.add_subcommand("backup", "copy a state file, also while it is in use");
     backup_verb->add_option("FILE", backup_from, "the state file")->required();
@@ -111,6 +124,7 @@
     replay_verb->add_option("FILE", replay_file, "a command log")->required();
     replay_verb->add_flag("--allow-cut", allow_cut, "accept a log whose writer was killed");
     CLI11_PARSE(app, argc, argv);
+    if (local_verb->parsed()) return heronshift::local::run_local(local);
     if (backup_verb->parsed()) {
         try {
             store::back_up(backup_from, backup_to);
--- a/include/heronshift/codec.hpp
+++ b/include/heronshift/codec.hpp
@@ -67,6 +67,14 @@
 std::string orders(std::uint64_t fence, const std::vector<Order>& list);
 std::string commands(std::uint64_t fence, std::uint64_t tenure, const std::vector<Order>& list);
 std::string redirect(const std::string& node);
+// The worker's side, for stand-ins.
+std::string to_body(const Report& r);
+struct Orders {
+    std::optional<std::uint64_t> fence, tenure; // none: the field is missing
+    std::vector<Order> list;
+};
+std::optional<Orders> read_orders(std::string_view body);
+std::string redirected_to(std::string_view body); // empty: to nobody
 
 std::optional<std::vector<MachineType>> machine_types(std::string_view body);
 Json types_to_json(const std::vector<MachineType>& types);
@@ -78,6 +86,21 @@
     bool more = false;
 };
 std::optional<MachinePage> machine_page(std::string_view body);
+// The cloud's side, for stand-ins.
+struct RentalRequest {
+    std::string claim, type, zone;
+    bool spot = false;
+    int count = 0;
+};
+std::optional<RentalRequest> rental_request(std::string_view body);
+std::string to_body(const MachinePage& p);
+// The user's side.
+std::string to_body(const JobSpec& s);
+struct JobAnswer {
+    std::string id, status;
+    std::uint64_t done = 0, running = 0;
+};
+std::optional<JobAnswer> job_answer_of(std::string_view body);
 
 // Store.
 struct Guard {
--- /dev/null
+++ b/include/heronshift/local/cloud.hpp
@@ -0,0 +1,133 @@
+// Stand-ins of the cloud and of its machines on loopback, which speak the protocol: the cloud rents
+// and takes back, each machine is a worker with an address of its own that reports to the controllers
+// and pretends to run tasks.
+#pragma once
+
+#include "heronshift/http.hpp"
+#include "heronshift/local/history.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace heronshift::local {
+
+struct WorkerSettings {
+    double report_s = 1, lease_s = 6, gang_wait_s = 10, gang_peer_s = 2;
+    std::vector<std::pair<std::string, std::string>> nodes; // names and addresses of the controllers
+};
+
+struct PlatformPlan {
+    WorkerSettings workers;
+    std::vector<MachineType> types;
+    int capacity = 12;    // machines of a type, zone and kind at once
+    double run_share = 1; // of expectedS that a task takes, give or take a third
+    unsigned seed = 1;
+};
+
+class Platform;
+
+// A machine and its worker.
+class StandInWorker {
+public:
+    StandInWorker(Platform& p, std::string id, const MachineType& type, std::string zone, bool spot, double up_at);
+    int start();
+    void tick(double now);
+    void lose_all(); // the machine is gone
+
+    [[nodiscard]] ListedMachine listed(double now) const;
+    [[nodiscard]] bool up(double now) const {
+        return now >= up_at_;
+    }
+    double hung_until = -1, cut_until = -1; // a cut machine goes on running, a hanging one does not
+    bool sick = false;                      // fails every task
+
+private:
+    friend class Platform;
+    struct Run {
+        ReportedTask t;
+        double until = 0;      // its image is there, or it is through
+        bool counted = false;  // told to the history as on the machine
+        double mate_lost = -1; // since when
+    };
+    void handle(HttpRequest&& r, const Responder& res);
+    void execute(const std::vector<Order>& list, double now);
+    void launch(const Order& o, double now);
+    void end(Run& r, ExitCause cause, bool saved = false);
+    void beat(double now);
+    void answered(const HttpReply& r, double sent, std::uint64_t tenure);
+    void next_node(double now);
+    Report report();
+
+    Platform& p_;
+    std::string id_, zone_, addr_;
+    const MachineType& type_;
+    bool spot_;
+    double rented_at_, up_at_, lease_from_, next_beat_ = 0, speed_ = 1;
+    std::uint64_t tenure_ = 1, counter_ = 0, fence_ = 0;
+    std::size_t node_ = 0;
+    bool in_flight_ = false, changed_ = false;
+    double last_beat_ = -1;
+    std::set<std::string> images_;
+    std::vector<Run> runs_;
+    HttpServer server_;
+};
+
+class Platform {
+public:
+    Platform(uv_loop_t* loop, PlatformPlan plan, History& history);
+    ~Platform();
+    Platform(const Platform&) = delete;
+    Platform& operator=(const Platform&) = delete;
+    int start(const Endpoint& cloud_at); // 0 or a libuv error
+    [[nodiscard]] int port() const {
+        return server_.port();
+    }
+    void know(const JobSpec& s) { // its user has uploaded it
+        jobs_[s.id] = s;
+    }
+    bool out = false; // an outage of the cloud
+    // A random machine that is up, or none.
+    StandInWorker* any();
+    void kill(StandInWorker& w); // stops with all that is on it
+
+    struct Sum {
+        std::size_t machines = 0, up = 0, running = 0;
+        std::uint64_t rented = 0, returned = 0;
+    };
+    [[nodiscard]] Sum sum() const;
+    [[nodiscard]] double now() const {
+        return static_cast<double>(uv_hrtime()) * 1e-9;
+    }
+
+private:
+    friend class StandInWorker;
+    void handle(HttpRequest&& r, const Responder& res);
+    void tick();
+    double between(double a, double b) {
+        return std::uniform_real_distribution<double>(a, b)(rng_);
+    }
+    // The tasks of one attempt of a gang that are on machines.
+    struct Mate {
+        StandInWorker* on;
+        StandInWorker::Run* run;
+    };
+    std::vector<Mate> mates(const std::string& job, std::uint64_t try_no);
+
+    uv_loop_t* loop_;
+    PlatformPlan plan_;
+    History& history_;
+    std::mt19937 rng_;
+    HttpServer server_;
+    HttpClient client_;
+    uv_timer_t* timer_ = nullptr;
+    std::map<std::string, std::unique_ptr<StandInWorker>> machines_;
+    std::vector<std::unique_ptr<StandInWorker>> gone_; // their servers close after the callbacks at hand
+    std::map<std::string, std::vector<std::string>> claims_;
+    std::map<std::string, JobSpec> jobs_;
+    std::uint64_t ticks_ = 0, named_ = 0, returned_ = 0;
+};
+
+} // namespace heronshift::local
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -630,4 +630,107 @@
     return j.is_object() ? text(j, "error") : std::string();
 }
 
+namespace {
+const char* name_of(TaskState s) {
+    switch (s) {
+    case TaskState::fetching: return "fetching";
+    case TaskState::waiting: return "gathering";
+    case TaskState::running: return "running";
+    case TaskState::saving: return "saving";
+    case TaskState::ended: break;
+    }
+    return "ended";
+}
+const char* name_of(ExitCause c) {
+    switch (c) {
+    case ExitCause::done: return "done";
+    case ExitCause::stopped: return "stopped";
+    case ExitCause::peers: return "mates_gone";
+    case ExitCause::alone: return "incomplete";
+    case ExitCause::error: return "error";
+    case ExitCause::no_room: return "no_room";
+    case ExitCause::busy: return "in_use";
+    default: return "unknown";
+    }
+}
+} // namespace
+
+std::string to_body(const Report& r) {
+    Json j{{"host", r.machine},      {"addr", r.addr},         {"flavor", r.type},     {"yard", r.zone},
+           {"standby", r.spot},      {"tenure", r.tenure},     {"counter", r.counter}, {"fence", r.fence},
+           {"evictionInS", nullptr}, {"shards", Json::array()}};
+    if (r.notice_s >= 0) j["evictionInS"] = r.notice_s;
+    for (const auto& t : r.tasks) {
+        Json e{{"shard", task_name(t.job, t.index)}, {"try", t.try_no}, {"status", name_of(t.state)}};
+        if (t.state == TaskState::ended) e["exitCause"] = name_of(t.cause);
+        if (t.saved) e["stored"] = true;
+        j["shards"].push_back(std::move(e));
+    }
+    return j.dump();
+}
+
+std::optional<Orders> read_orders(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    Orders o;
+    if (std::uint64_t n = 0; count(j, "fence", n)) o.fence = n;
+    if (std::uint64_t n = 0; count(j, "tenure", n)) o.tenure = n;
+    const auto* list = field(j, "orders");
+    if (list == nullptr) return o;
+    if (!list->is_array()) return {};
+    for (const auto& e : *list) {
+        if (!e.is_object()) return {};
+        Order x;
+        const auto verb = text(e, "verb");
+        if (verb != "launch" && verb != "stop" && verb != "reap") return {};
+        x.verb = verb == "launch" ? Verb::launch : verb == "stop" ? Verb::stop : Verb::reap;
+        if (!split_task(text(e, "shard"), x.job, x.index) || !count(e, "try", x.try_no)) return {};
+        x.drain_s = number(e, "drainS");
+        o.list.push_back(std::move(x));
+    }
+    return o;
+}
+
+std::string redirected_to(std::string_view body) {
+    const auto j = parse(body);
+    return j.is_object() ? text(j, "reportsTo") : std::string();
+}
+
+std::optional<RentalRequest> rental_request(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    RentalRequest r{text(j, "claim"), text(j, "flavor"), text(j, "yard"), flag(j, "standby"), 0};
+    std::uint64_t n = 0;
+    if (r.claim.empty() || r.type.empty() || r.zone.empty() || !count(j, "number", n) || n < 1 || n > 50) return {};
+    r.count = static_cast<int>(n);
+    return r;
+}
+
+std::string to_body(const MachinePage& p) {
+    auto list = Json::array();
+    for (const auto& m : p.machines)
+        list.push_back({{"id", m.id},
+                        {"addr", m.addr},
+                        {"flavor", m.type},
+                        {"yard", m.zone},
+                        {"standby", m.spot},
+                        {"status", m.status},
+                        {"ageS", m.age_s}});
+    return Json{{"hosts", std::move(list)}, {"more", p.more}}.dump();
+}
+
+std::string to_body(const JobSpec& s) {
+    return to_json(s).dump();
+}
+
+std::optional<JobAnswer> job_answer_of(std::string_view body) {
+    const auto j = parse(body);
+    if (!j.is_object()) return {};
+    JobAnswer a{text(j, "id"), text(j, "status"), 0, 0};
+    if (a.id.empty() || a.status.empty()) return {};
+    count(j, "done", a.done);
+    count(j, "running", a.running);
+    return a;
+}
+
 } // namespace heronshift::codec
--- /dev/null
+++ b/src/local/cloud.cpp
@@ -0,0 +1,356 @@
+#include "heronshift/local/cloud.hpp"
+
+#include "heronshift/codec.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace heronshift::local {
+namespace {
+
+constexpr std::uint64_t tick_ms = 20, ticks_a_sweep = 5, ticks_a_second = 50;
+constexpr double answer_s = 4, next_node_s = 1, least_pause_s = 0.5;
+
+std::string error_body(const std::string& what) {
+    return codec::Json{{"error", what}}.dump();
+}
+
+} // namespace
+
+StandInWorker::StandInWorker(Platform& p, std::string id, const MachineType& type, std::string zone, bool spot,
+                             double up_at)
+    : p_(p), id_(std::move(id)), zone_(std::move(zone)), type_(type), spot_(spot), rented_at_(p.now()), up_at_(up_at),
+      lease_from_(up_at), next_beat_(up_at), speed_(p.between(0.95, 1.05)),
+      server_(p.loop_, 64, 600, [this](HttpRequest&& r, Responder res) { handle(std::move(r), res); }) {}
+
+int StandInWorker::start() {
+    if (const int e = server_.listen({"127.0.0.1", 0}); e != 0) return e;
+    addr_ = fmt::format("127.0.0.1:{}", server_.port());
+    if (!p_.plan_.workers.nodes.empty()) node_ = p_.rng_() % p_.plan_.workers.nodes.size();
+    return 0;
+}
+
+ListedMachine StandInWorker::listed(double now) const {
+    return {id_, addr_, type_.name, zone_, up(now) ? "running" : "booting", spot_, now - rented_at_};
+}
+
+Report StandInWorker::report() {
+    Report r{id_, addr_, type_.name, zone_, spot_, tenure_, ++counter_, fence_, -1, {}};
+    for (const auto& x : runs_) r.tasks.push_back(x.t);
+    return r;
+}
+
+void StandInWorker::end(Run& r, ExitCause cause, bool saved) {
+    if (r.counted) p_.history_.off_machine(r.t.job, r.t.index, id_);
+    if (cause == ExitCause::done) p_.history_.task_done(r.t.job, r.t.index);
+    r.counted = false;
+    r.t.state = TaskState::ended;
+    r.t.cause = cause;
+    r.t.saved = saved;
+    changed_ = true;
+}
+
+void StandInWorker::lose_all() {
+    for (auto& r : runs_)
+        if (r.counted) p_.history_.off_machine(r.t.job, r.t.index, id_);
+    runs_.clear();
+}
+
+void StandInWorker::launch(const Order& o, double now) {
+    const auto& specs = p_.jobs_;
+    Run r;
+    r.t = {o.job, o.index, o.try_no, TaskState::fetching, ExitCause::none, false};
+    const auto spec = specs.find(o.job);
+    Resources used;
+    bool here = false;
+    for (const auto& x : runs_) {
+        if (x.t.job == o.job && x.t.index == o.index) {
+            if (x.t.try_no == o.try_no) return;
+            here = here || x.t.state != TaskState::ended;
+        }
+        if (const auto s = specs.find(x.t.job); s != specs.end() && x.t.state != TaskState::ended)
+            used += s->second.each;
+    }
+    if (spec == specs.end() || o.index >= spec->second.tasks)
+        end(r, ExitCause::unknown);
+    else if (here)
+        end(r, ExitCause::busy);
+    else if (!(used + spec->second.each).fits(type_.room))
+        end(r, ExitCause::no_room);
+    else
+        r.until = now + (images_.contains(spec->second.image) ? 0 : spec->second.image_gb / type_.fetch_gb_per_s);
+    runs_.push_back(std::move(r));
+    changed_ = true;
+}
+
+void StandInWorker::execute(const std::vector<Order>& list, double now) {
+    for (const auto& o : list) {
+        if (o.verb == Verb::launch) {
+            launch(o, now);
+            continue;
+        }
+        const auto it = std::find_if(runs_.begin(), runs_.end(), [&](const Run& r) {
+            return r.t.job == o.job && r.t.index == o.index && r.t.try_no == o.try_no;
+        });
+        if (it == runs_.end()) continue;
+        if (o.verb == Verb::reap) {
+            if (it->t.state == TaskState::ended) runs_.erase(it);
+            continue;
+        }
+        if (it->t.state == TaskState::ended) continue;
+        const auto& s = p_.jobs_[o.job];
+        if (it->t.state == TaskState::running && s.checkpoint_s > 0 && o.drain_s >= s.save_s) {
+            it->t.state = TaskState::saving;
+            it->until = now + s.save_s;
+            changed_ = true;
+        } else if (it->t.state != TaskState::saving || o.drain_s <= 0) {
+            end(*it, ExitCause::stopped);
+        }
+    }
+}
+
+void StandInWorker::handle(HttpRequest&& r, const Responder& res) {
+    const double now = p_.now();
+    if (now < hung_until || now < cut_until || !up(now)) return; // silence: the caller gives up
+    if (r.method == "GET" && r.path == codec::path_status) return res.send(200, codec::to_body(report()));
+    if (r.method != "POST" || r.path != codec::path_commands) return res.send(404, error_body("no such path"));
+    const auto o = codec::read_orders(r.body);
+    if (!o || !o->fence || !o->tenure) return res.send(400, error_body("fence and tenure are needed"));
+    if (*o->fence < fence_ || *o->tenure != tenure_) return res.send(409, codec::to_body(report()));
+    changed_ = changed_ || *o->fence > fence_;
+    fence_ = *o->fence;
+    execute(o->list, now);
+    res.send(200, codec::to_body(report()));
+}
+
+void StandInWorker::next_node(double now) {
+    const auto n = p_.plan_.workers.nodes.size();
+    if (n > 0) node_ = (node_ + 1) % n;
+    next_beat_ = now + next_node_s;
+}
+
+void StandInWorker::answered(const HttpReply& r, double sent, std::uint64_t tenure) {
+    in_flight_ = false;
+    const double now = p_.now();
+    if (now < cut_until || now < hung_until) return;
+    const auto& nodes = p_.plan_.workers.nodes;
+    if (r.status == 421) {
+        const auto to = codec::redirected_to(r.body);
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+            if (nodes[i].first == to && i != node_) {
+                node_ = i;
+                next_beat_ = now + p_.between(0, 0.5);
+                return;
+            }
+        return next_node(now);
+    }
+    if (r.status != 200) return next_node(now);
+    const auto o = codec::read_orders(r.body);
+    if (!o || !o->fence || *o->fence < fence_ || tenure != tenure_) return; // dropped; it stays with this node
+    changed_ = changed_ || *o->fence > fence_;
+    fence_ = *o->fence;
+    lease_from_ = std::max(lease_from_, sent);
+    execute(o->list, now);
+}
+
+void StandInWorker::beat(double now) {
+    const auto& w = p_.plan_.workers;
+    if (in_flight_ || w.nodes.empty()) return;
+    const bool due =
+        now >= next_beat_ || (changed_ && now >= last_beat_ + least_pause_s && next_beat_ - now < w.report_s);
+    if (!due) return;
+    next_beat_ = now + w.report_s * p_.between(0.75, 1.25);
+    last_beat_ = now;
+    changed_ = false;
+    if (now < cut_until) return;
+    in_flight_ = true;
+    p_.client_.request(w.nodes[node_].second, "POST", std::string(codec::path_report), codec::to_body(report()),
+                       answer_s, [&p = p_, id = id_, now, tenure = tenure_](HttpReply&& r) {
+                           const auto it = p.machines_.find(id);
+                           if (it != p.machines_.end()) it->second->answered(r, now, tenure);
+                       });
+}
+
+void StandInWorker::tick(double now) {
+    if (!up(now)) return;
+    const auto& w = p_.plan_.workers;
+    // A hanging machine too: past its lease its tasks never go on.
+    if (now > lease_from_ + w.lease_s) {
+        lose_all();
+        ++tenure_;
+        lease_from_ = now;
+        changed_ = true;
+    }
+    if (now < hung_until) return;
+    for (auto& r : runs_) {
+        const auto& s = p_.jobs_[r.t.job];
+        if (r.t.state == TaskState::fetching && now >= r.until) {
+            images_.insert(s.image);
+            if (sick) {
+                end(r, ExitCause::error);
+                continue;
+            }
+            p_.history_.on_machine(r.t.job, r.t.index, {id_, type_.name, zone_, spot_}, now);
+            r.counted = true;
+            r.t.state = s.shape == Shape::gang && s.tasks > 1 ? TaskState::waiting : TaskState::running;
+            const double run = std::max(0.05, s.estimate_s * p_.plan_.run_share * p_.between(0.67, 1.33) / speed_);
+            r.until = now + (r.t.state == TaskState::waiting ? w.gang_wait_s : run);
+            changed_ = true;
+        } else if (r.t.state == TaskState::waiting) {
+            const auto all = p_.mates(r.t.job, r.t.try_no);
+            const bool ready = all.size() == s.tasks && std::all_of(all.begin(), all.end(), [](const auto& x) {
+                                   return x.run->t.state == TaskState::waiting;
+                               });
+            const double run = std::max(0.05, s.estimate_s * p_.plan_.run_share * p_.between(0.67, 1.33));
+            for (const auto& x : all) {
+                if (!ready) break;
+                x.run->t.state = TaskState::running;
+                x.run->until = now + run;
+                x.on->changed_ = true;
+            }
+            changed_ = changed_ || ready;
+            if (!ready && now >= r.until) end(r, ExitCause::alone);
+        } else if (r.t.state == TaskState::running && s.shape == Shape::gang && s.tasks > 1) {
+            const auto all = p_.mates(r.t.job, r.t.try_no);
+            if (all.size() < s.tasks) {
+                if (r.mate_lost < 0) r.mate_lost = now;
+                if (now > r.mate_lost + w.gang_peer_s) end(r, ExitCause::peers);
+            } else if (now >= r.until) {
+                for (const auto& x : all) // they complete together
+                    if (x.run->t.state == TaskState::running) x.on->end(*x.run, ExitCause::done);
+            }
+        } else if (r.t.state == TaskState::running && s.shape != Shape::service && now >= r.until) {
+            end(r, ExitCause::done);
+        } else if (r.t.state == TaskState::saving && now >= r.until) {
+            end(r, ExitCause::stopped, true);
+        }
+    }
+    beat(now);
+}
+
+Platform::Platform(uv_loop_t* loop, PlatformPlan plan, History& history)
+    : loop_(loop), plan_(std::move(plan)), history_(history), rng_(plan_.seed),
+      server_(loop, 64, 600, [this](HttpRequest&& r, Responder res) { handle(std::move(r), res); }),
+      client_(loop, 128, 4096) {}
+
+Platform::~Platform() {
+    if (timer_ == nullptr) return;
+    timer_->data = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t*>(timer_), [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+}
+
+int Platform::start(const Endpoint& cloud_at) {
+    if (const int e = server_.listen(cloud_at); e != 0) return e;
+    timer_ = new uv_timer_t;
+    uv_timer_init(loop_, timer_);
+    timer_->data = this;
+    return uv_timer_start(
+        timer_,
+        [](uv_timer_t* t) {
+            if (t->data != nullptr) static_cast<Platform*>(t->data)->tick();
+        },
+        tick_ms, tick_ms);
+}
+
+void Platform::tick() {
+    const double t = now();
+    gone_.clear();
+    for (auto& [id, m] : machines_) m->tick(t);
+    if (++ticks_ % ticks_a_sweep == 0) client_.sweep();
+    if (ticks_ % ticks_a_second == 0) server_.sweep();
+    history_.check(t);
+}
+
+std::vector<Platform::Mate> Platform::mates(const std::string& job, std::uint64_t try_no) {
+    std::vector<Mate> out;
+    for (auto& [id, m] : machines_)
+        for (auto& r : m->runs_)
+            if (r.t.job == job && r.t.try_no == try_no &&
+                (r.t.state != TaskState::ended || r.t.cause == ExitCause::done))
+                out.push_back({m.get(), &r});
+    return out;
+}
+
+StandInWorker* Platform::any() {
+    std::vector<StandInWorker*> list;
+    for (auto& [id, m] : machines_)
+        if (m->up(now())) list.push_back(m.get());
+    return list.empty() ? nullptr : list[rng_() % list.size()];
+}
+
+void Platform::kill(StandInWorker& w) {
+    w.lose_all();
+    const auto it = machines_.find(w.id_);
+    gone_.push_back(std::move(it->second));
+    machines_.erase(it);
+}
+
+Platform::Sum Platform::sum() const {
+    Sum s;
+    s.machines = machines_.size();
+    s.rented = named_;
+    s.returned = returned_;
+    for (const auto& [id, m] : machines_) {
+        s.up += m->up(now());
+        s.running += static_cast<std::size_t>(std::count_if(
+            m->runs_.begin(), m->runs_.end(), [](const auto& r) { return r.t.state == TaskState::running; }));
+    }
+    return s;
+}
+
+void Platform::handle(HttpRequest&& r, const Responder& res) {
+    if (out) return res.send(503, error_body("trouble"));
+    const double t = now();
+    const bool get = r.method == "GET", post = r.method == "POST";
+    if (get && r.path == codec::path_types) return res.send(200, codec::types_to_json(plan_.types).dump());
+    if (get && r.path == codec::path_rentals) {
+        codec::MachinePage page;
+        const auto at = r.query.find("since=");
+        const auto since = at == std::string::npos ? "" : r.query.substr(at + 6, r.query.find('&', at) - at - 6);
+        for (auto it = machines_.upper_bound(since); it != machines_.end(); ++it) {
+            if (page.machines.size() >= 500) {
+                page.more = true;
+                break;
+            }
+            page.machines.push_back(it->second->listed(t));
+        }
+        return res.send(200, codec::to_body(page));
+    }
+    if (post && r.path == codec::path_release) {
+        const auto list = codec::rented(r.body);
+        if (!list || list->size() > 100) return res.send(400, error_body("hosts"));
+        for (const auto& id : *list)
+            if (const auto it = machines_.find(id); it != machines_.end()) {
+                ++returned_;
+                kill(*it->second);
+            }
+        return res.send(200, "{}");
+    }
+    if (!post || r.path != codec::path_rentals) return res.send(404, error_body("no such path"));
+    const auto ask = codec::rental_request(r.body);
+    const MachineType* type = nullptr;
+    for (const auto& x : plan_.types)
+        if (ask && x.name == ask->type && std::find(x.zones.begin(), x.zones.end(), ask->zone) != x.zones.end())
+            type = &x;
+    if (type == nullptr) return res.send(400, error_body("malformed"));
+    if (const auto known = claims_.find(ask->claim); known != claims_.end())
+        return res.send(200, codec::release(known->second));
+    const auto have = std::count_if(machines_.begin(), machines_.end(), [&](const auto& m) {
+        const auto& x = *m.second;
+        return x.type_.name == type->name && x.zone_ == ask->zone && x.spot_ == ask->spot;
+    });
+    const int n = std::min(ask->count, plan_.capacity - static_cast<int>(have));
+    if (n <= 0) return res.send(503, error_body("no capacity"));
+    auto& names = claims_[ask->claim];
+    for (int i = 0; i < n; ++i) {
+        auto id = fmt::format("n-{:06}", ++named_);
+        auto w = std::make_unique<StandInWorker>(*this, id, *type, ask->zone, ask->spot,
+                                                 t + type->boot_s * between(0.6, 1.5));
+        if (w->start() != 0) break;
+        machines_[id] = std::move(w);
+        names.push_back(std::move(id));
+    }
+    res.send(200, codec::release(names));
+}
+
+} // namespace heronshift::local
--- /dev/null
+++ b/src/local/local.cpp
@@ -0,0 +1,492 @@
+#include "heronshift/local/local.hpp"
+
+#include "heronshift/codec.hpp"
+#include "heronshift/local/cloud.hpp"
+#include "heronshift/store/server.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <utility>
+
+namespace heronshift::local {
+namespace {
+
+constexpr int nodes = 3;
+constexpr double report_s = 1, lease_s = 6, cancel_s = 15;
+constexpr double patience_s = 90; // after the last submission, for all to come to its end
+constexpr double user_timeout_s = 5, poll_timeout_s = 2, poll_every_s = 1, give_up_s = 60;
+constexpr double back_after_s = 2; // a killed controller
+constexpr double fault_every_s = 2.5;
+
+std::vector<TeamLimits> teams() {
+    return {{"red", 40, 64, 0, 0}, {"blue", 24, 48, 0, 0}};
+}
+
+std::vector<MachineType> types() {
+    return {{"m8", {8, 0, 32}, 20, 2, 1.0, 0.3, 1, {"a", "b"}}, {"m16", {16, 0, 64}, 40, 2, 2.1, 0.7, 2, {"a", "b"}}};
+}
+
+JobSpec job(int n, Shape shape, std::uint32_t tasks, double cpus, const std::string& team, double run_s) {
+    JobSpec s;
+    s.id = fmt::format("wk-{:06}", n);
+    s.job_class = shape == Shape::array ? "batch" : shape == Shape::gang ? "solve" : "serve";
+    s.team = team;
+    s.shape = shape;
+    s.rank = shape == Shape::service ? Rank::critical : shape == Shape::gang ? Rank::high : Rank::normal;
+    s.tasks = tasks;
+    s.each = {cpus, 0, cpus * 2};
+    s.image = "img-" + team;
+    s.image_gb = 0.4;
+    s.spot = shape == Shape::array;
+    s.estimate_s = run_s;
+    return s;
+}
+
+// A port that no other program is given while this one runs: it stays bound here, and what is bound but
+// does not listen may be bound once more by a controller. (Two platforms started at the same moment had
+// taken each other's ports, and users were answered by the wrong cluster.)
+class Port {
+public:
+    Port() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in a{};
+        a.sin_family = AF_INET;
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof a;
+        const int on = 1;
+        if (::bind(fd_, reinterpret_cast<const sockaddr*>(&a), size) == 0 &&
+            ::getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size) == 0)
+            number_ = ntohs(a.sin_port);
+        ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    }
+    ~Port() {
+        if (fd_ >= 0) ::close(fd_);
+    }
+    Port(Port&& o) noexcept : fd_(std::exchange(o.fd_, -1)), number_(o.number_) {}
+    Port(const Port&) = delete;
+    Port& operator=(const Port&) = delete;
+    Port& operator=(Port&&) = delete;
+    [[nodiscard]] int number() const {
+        return number_;
+    }
+
+private:
+    int fd_, number_ = 0;
+};
+
+class Local {
+public:
+    explicit Local(const LocalOptions& o) : o_(o), rng_(o.seed), history_(teams(), cancel_s) {
+        uv_loop_init(&loop_);
+        users_ = std::make_unique<HttpClient>(&loop_, 64, 1024);
+    }
+    ~Local() {
+        stop_nodes();
+        platform_.reset();
+        store_.reset();
+        users_.reset();
+        if (tick_ != nullptr)
+            uv_close(reinterpret_cast<uv_handle_t*>(tick_),
+                     [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+        if (interrupt_ != nullptr)
+            uv_close(reinterpret_cast<uv_handle_t*>(interrupt_),
+                     [](uv_handle_t* h) { delete reinterpret_cast<uv_signal_t*>(h); });
+        uv_run(&loop_, UV_RUN_DEFAULT); // the controllers end, handles close
+        uv_loop_close(&loop_);
+    }
+    Local(const Local&) = delete;
+    Local& operator=(const Local&) = delete;
+
+    int run() {
+        if (const auto why = start(); !why.empty()) {
+            std::cerr << "heronshift local: " << why << "\n";
+            return 2;
+        }
+        uv_run(&loop_, UV_RUN_DEFAULT);
+        return summary();
+    }
+
+private:
+    struct Controller {
+        std::string name, config, log;
+        Port user, peer;
+        uv_process_t* process = nullptr;
+        double back_at = -1;
+        int starts = 0;
+    };
+    struct User { // and the job that it wants
+        JobSpec spec;
+        double at = 0, next = 0, cancel_at = -1, first_try = -1;
+        enum class State { waits, submits, polls, cancels, over } state = State::waits;
+        bool asking = false;
+        std::string last = "not submitted";
+    };
+
+    double between(double a, double b) {
+        return std::uniform_real_distribution<double>(a, b)(rng_);
+    }
+    [[nodiscard]] double now() const {
+        return static_cast<double>(uv_hrtime()) * 1e-9 - began_;
+    }
+    void say(const std::string& line) const {
+        std::cerr << fmt::format("{:6.1f} s  {}\n", now(), line);
+    }
+
+    std::string start() {
+        began_ = static_cast<double>(uv_hrtime()) * 1e-9;
+        folder_ = o_.folder;
+        if (folder_.empty()) {
+            const char* tmp = std::getenv("TMPDIR");
+            folder_ = fmt::format("{}/heronshift-XXXXXX", tmp != nullptr ? tmp : "/tmp");
+            if (::mkdtemp(folder_.data()) == nullptr) return folder_ + ": cannot be made";
+        } else if (::mkdir(folder_.c_str(), 0755) != 0 && errno != EEXIST) {
+            return folder_ + ": cannot be made";
+        }
+        store_ = std::make_unique<store::StoreServer>(
+            &loop_, std::make_unique<store::Engine>(store::memory_data(), store::Limits{200, 100, 24, 16}));
+        if (store_->start({"127.0.0.1", 0}) != 0) return "the state service cannot listen";
+        PlatformPlan plan;
+        plan.workers.report_s = report_s;
+        plan.workers.lease_s = lease_s;
+        plan.types = types();
+        plan.seed = o_.seed;
+        for (int i = 0; i < nodes; ++i) {
+            Controller c;
+            c.name = fmt::format("berth-{}", i);
+            c.config = fmt::format("{}/{}.toml", folder_, c.name);
+            c.log = fmt::format("{}/{}.log", folder_, c.name);
+            plan.workers.nodes.emplace_back(c.name, fmt::format("127.0.0.1:{}", c.user.number()));
+            nodes_.push_back(std::move(c));
+        }
+        platform_ = std::make_unique<Platform>(&loop_, std::move(plan), history_);
+        if (platform_->start({"127.0.0.1", 0}) != 0) return "the cloud cannot listen";
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            if (!write_settings(i)) return nodes_[i].config + ": cannot be written";
+            if (!spawn(nodes_[i])) return "a controller cannot be started";
+        }
+        plan_load();
+        tick_ = new uv_timer_t;
+        uv_timer_init(&loop_, tick_);
+        tick_->data = this;
+        uv_timer_start(
+            tick_, [](uv_timer_t* t) { static_cast<Local*>(t->data)->tick(); }, 50, 50);
+        interrupt_ = new uv_signal_t;
+        uv_signal_init(&loop_, interrupt_);
+        interrupt_->data = this;
+        uv_signal_start(
+            interrupt_, [](uv_signal_t* s, int) { static_cast<Local*>(s->data)->finish("interrupted"); }, SIGINT);
+        say(fmt::format("state service on 127.0.0.1:{}, cloud on 127.0.0.1:{}, logs in {}", store_->port(),
+                        platform_->port(), folder_));
+        for (const auto& c : nodes_) say(fmt::format("{} on http://127.0.0.1:{}", c.name, c.user.number()));
+        return {};
+    }
+
+    bool write_settings(std::size_t me) {
+        std::ofstream f(nodes_[me].config);
+        f << fmt::format("host_name = \"{}\"\nzone = \"a\"\nbind = \"127.0.0.1:{}\"\nback = \"127.0.0.1:{}\"\n",
+                         nodes_[me].name, nodes_[me].user.number(), nodes_[me].peer.number());
+        for (std::size_t i = 0; i < nodes_.size(); ++i)
+            if (i != me)
+                f << fmt::format("\n[[others]]\nhost_name = \"{}\"\nzone = \"a\"\npeer_addr = \"127.0.0.1:{}\"\n",
+                                 nodes_[i].name, nodes_[i].peer.number());
+        f << fmt::format("\n[external]\ncloud = \"127.0.0.1:{}\"\nstate = \"127.0.0.1:{}\"\n", platform_->port(),
+                         store_->port());
+        f << "\n[facts]\ninitial_size = 0\nzones = [\"a\", \"b\"]\ntime_bound_ms = 100.0\n";
+        for (const auto& t : teams())
+            f << fmt::format("\n[[facts.teams]]\nname = \"{}\"\ncpus = {:.1f}\ncpus_max = {:.1f}\ngpus = 0.0\n"
+                             "gpus_max = 0.0\n",
+                             t.name, t.cpus, t.cpus_max);
+        f << fmt::format("\n[facts.workers]\nreport_s = {:.1f}\nlease_s = {:.1f}\ngang_wait_s = 10.0\n"
+                         "gang_peer_s = 2.0\ncancel_s = {:.1f}\n",
+                         report_s, lease_s, cancel_s);
+        f << "\n[facts.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 16.0\ntxn_ops = 24\n"
+             "\n[facts.cloud]\nrps = 10.0\nlist_lag_s = 1.0\n"
+             "\n[facts.resources]\ncores = 1.0\nmem_mb = 256.0\nfd_limit = 1000\n";
+        return f.good();
+    }
+
+    bool spawn(Controller& c) {
+        const std::string program = o_.program.empty() ? "/proc/self/exe" : o_.program;
+        const int log = ::open(c.log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+        if (log < 0) return false;
+        std::vector<std::string> words{program, "--config", c.config};
+        std::vector<char*> args;
+        for (auto& w : words) args.push_back(w.data());
+        args.push_back(nullptr);
+        uv_stdio_container_t io[3];
+        io[0].flags = UV_IGNORE;
+        io[1].flags = io[2].flags = UV_INHERIT_FD;
+        io[1].data.fd = io[2].data.fd = log;
+        uv_process_options_t p{};
+        p.file = program.c_str();
+        p.args = args.data();
+        p.stdio = io;
+        p.stdio_count = 3;
+        p.exit_cb = [](uv_process_t* x, std::int64_t, int) {
+            if (auto* owner = static_cast<Controller*>(x->data); owner != nullptr) owner->process = nullptr;
+            uv_close(reinterpret_cast<uv_handle_t*>(x),
+                     [](uv_handle_t* h) { delete reinterpret_cast<uv_process_t*>(h); });
+        };
+        c.process = new uv_process_t;
+        c.process->data = &c;
+        const int e = uv_spawn(&loop_, c.process, &p);
+        ::close(log);
+        ++c.starts;
+        return e == 0;
+    }
+
+    void stop_nodes() {
+        for (auto& c : nodes_)
+            if (c.process != nullptr) uv_process_kill(c.process, SIGKILL);
+    }
+
+    void plan_load() {
+        int n = 0;
+        auto add = [&](JobSpec s, double at, double cancel_at = -1) {
+            User u;
+            u.at = at;
+            u.cancel_at = cancel_at;
+            u.spec = std::move(s);
+            users_wanted_.push_back(std::move(u));
+        };
+        const double last = o_.seconds;
+        for (int i = 0; i < o_.jobs; ++i) {
+            const double at = 2 + (last - 2) * i / std::max(1, o_.jobs);
+            const auto team = i % 3 == 0 ? "blue" : "red";
+            if (i % 4 == 1) {
+                auto s = job(++n, Shape::gang, 2 + static_cast<std::uint32_t>(rng_() % 3), 4, team, 2);
+                s.one_zone = i % 8 == 1;
+                add(std::move(s), at);
+            } else if (i % 4 == 2) {
+                auto s = job(++n, Shape::service, 2 + static_cast<std::uint32_t>(rng_() % 2), 1, team, 0);
+                s.spread = true;
+                add(std::move(s), at, last + 2); // its user ends it after the last submission
+            } else {
+                auto s = job(++n, Shape::array, 3 + static_cast<std::uint32_t>(rng_() % 12), 2, team, 1.5);
+                add(std::move(s), at, i % 8 == 7 ? at + between(0, 3) : -1);
+            }
+        }
+        // A pipeline: each step needs the one before.
+        std::vector<std::string> before;
+        for (const auto* step : {"gather", "clean", "publish"}) {
+            auto s = job(++n, Shape::array, 4, 1, "red", 1);
+            s.job_class = step;
+            s.needs = before;
+            before = {s.id};
+            add(std::move(s), 3 + 0.3 * static_cast<double>(n % 3));
+        }
+    }
+
+    std::string some_node() {
+        return fmt::format("127.0.0.1:{}", nodes_[rng_() % nodes_.size()].user.number());
+    }
+
+    // What a user does next, as the protocol says.
+    void serve(std::size_t i, double t) {
+        auto& u = users_wanted_[i];
+        using S = User::State;
+        if (u.asking || u.state == S::over || t < u.next) return;
+        if (u.state == S::waits) {
+            const bool ready = std::all_of(u.spec.needs.begin(), u.spec.needs.end(), [this](const auto& id) {
+                return std::any_of(users_wanted_.begin(), users_wanted_.end(), [&](const User& x) {
+                    return x.spec.id == id && x.state != S::waits && x.state != S::submits;
+                });
+            });
+            if (t < u.at || !ready) return;
+            u.state = S::submits;
+            u.first_try = t;
+            platform_->know(u.spec);
+            history_.submitted(u.spec);
+        }
+        if (u.state == S::polls && u.cancel_at >= 0 && t >= u.cancel_at) {
+            u.state = S::cancels;
+            history_.cancel_asked(u.spec.id);
+        }
+        const auto path = std::string(codec::path_jobs);
+        const auto one = path + "/" + u.spec.id;
+        u.asking = true;
+        auto done = [this, i](HttpReply&& r) { answered(i, r); };
+        if (u.state == S::submits)
+            users_->request(some_node(), "POST", path, codec::to_body(u.spec), user_timeout_s, done);
+        else if (u.state == S::cancels)
+            users_->request(some_node(), "POST", one + "/" + std::string(codec::suffix_cancel), "{}", user_timeout_s,
+                            done);
+        else
+            users_->request(some_node(), "GET", one, "", poll_timeout_s, done);
+    }
+
+    void answered(std::size_t i, const HttpReply& r) {
+        auto& u = users_wanted_[i];
+        using S = User::State;
+        u.asking = false;
+        const double t = now();
+        u.next = t + (u.state == S::polls ? poll_every_s : 1);
+        const auto a = r.status == 200 || r.status == 201 ? codec::job_answer_of(r.body) : std::nullopt;
+        if (r.status != 0) history_.told(u.spec.id, r.status, a ? a->status : "", platform_->now());
+        if (!a) {
+            const bool never = u.state == S::submits && (r.status == 400 || r.status == 422);
+            if (never || (u.state == S::submits && t - u.first_try > give_up_s)) {
+                u.last = never ? fmt::format("refused with {}", r.status) : "not accepted in time";
+                u.state = S::over;
+            }
+            return;
+        }
+        u.last = a->status;
+        if (u.state == S::submits) u.state = S::polls;
+        if (a->status == codec::status_done || a->status == codec::status_cancelled) u.state = S::over;
+    }
+
+    void trouble(double t) {
+        if (!o_.faults || t < next_fault_ || t > o_.seconds) return;
+        next_fault_ = t + fault_every_s * between(0.6, 1.4);
+        auto* w = platform_->any();
+        switch (std::uniform_int_distribution<int>(0, 7)(rng_)) {
+        case 0:
+        case 1: {
+            auto& c = nodes_[rng_() % nodes_.size()];
+            if (c.process == nullptr) return;
+            say(fmt::format("trouble: {} is killed", c.name));
+            uv_process_kill(c.process, SIGKILL);
+            c.back_at = t + back_after_s;
+            break;
+        }
+        case 2:
+            say("trouble: the state service is out (503)");
+            store_->set_mood(store::StoreServer::Mood::out);
+            store_well_at_ = t + between(1, 5);
+            break;
+        case 3:
+            say("trouble: the state service is silent");
+            store_->set_mood(store::StoreServer::Mood::silent);
+            store_well_at_ = t + between(1, 4);
+            break;
+        case 4:
+            say("trouble: the cloud is out");
+            platform_->out = true;
+            cloud_well_at_ = t + between(1, 5);
+            break;
+        case 5:
+            if (w == nullptr) return;
+            say(fmt::format("trouble: {} hangs", w->listed(0).id));
+            w->hung_until = platform_->now() + between(1, 2 * lease_s);
+            break;
+        case 6:
+            if (w == nullptr) return;
+            say(fmt::format("trouble: {} is cut off", w->listed(0).id));
+            w->cut_until = platform_->now() + between(1, 2 * lease_s);
+            break;
+        default:
+            if (w == nullptr) return;
+            say(fmt::format("trouble: {} stops with all that is on it", w->listed(0).id));
+            platform_->kill(*w);
+        }
+    }
+
+    void tick() {
+        const double t = now();
+        users_->sweep();
+        if (store_well_at_ >= 0 && t >= store_well_at_) {
+            store_well_at_ = -1;
+            store_->set_mood(store::StoreServer::Mood::well);
+        }
+        if (cloud_well_at_ >= 0 && t >= cloud_well_at_) {
+            cloud_well_at_ = -1;
+            platform_->out = false;
+        }
+        for (auto& c : nodes_) {
+            if (c.process != nullptr) continue;
+            if (c.back_at < 0) { // by itself: never a good sign
+                ++ended_;
+                say(fmt::format("{} has ended by itself, see {}", c.name, c.log));
+                c.back_at = t + back_after_s;
+            }
+            if (t < c.back_at) continue;
+            c.back_at = -1;
+            spawn(c);
+        }
+        trouble(t);
+        bool over = true;
+        for (std::size_t i = 0; i < users_wanted_.size(); ++i) {
+            serve(i, t);
+            over = over && users_wanted_[i].state == User::State::over;
+        }
+        if (t >= next_line_) {
+            next_line_ = t + 1;
+            progress();
+        }
+        if (over && !o_.stay) finish("");
+        if (t > o_.seconds + patience_s && !o_.stay) finish("time is over");
+    }
+
+    void progress() const {
+        std::map<std::string, int> states;
+        for (const auto& u : users_wanted_) ++states[u.last];
+        std::string jobs;
+        for (const auto& [s, n] : states) jobs += fmt::format("{}{} {}", jobs.empty() ? "" : ", ", n, s);
+        const auto s = platform_->sum();
+        say(fmt::format("jobs: {} | machines: {} up of {}, {} tasks run | rules broken: {}", jobs, s.up, s.machines,
+                        s.running, history_.broken().size()));
+    }
+
+    void finish(const std::string& why) {
+        if (!why.empty()) say(why);
+        uv_stop(&loop_);
+    }
+
+    int summary() {
+        std::map<std::string, std::map<std::string, int>> shapes;
+        for (const auto& u : users_wanted_) {
+            const auto* shape = u.spec.shape == Shape::array  ? "arrays"
+                                : u.spec.shape == Shape::gang ? "gangs"
+                                                              : "services";
+            ++shapes[u.spec.needs.empty() && u.spec.job_class != "gather" ? shape : "pipeline"][u.last];
+        }
+        for (const auto& [shape, states] : shapes) {
+            std::cout << fmt::format("{:9}", shape);
+            for (const auto& [s, n] : states) std::cout << fmt::format("  {} {}", n, s);
+            std::cout << "\n";
+        }
+        const auto s = platform_->sum();
+        std::cout << fmt::format("machines   {} rented, {} returned\ntasks      {} started\nrequests   {} to the state "
+                                 "service\nlogs       {}\n",
+                                 s.rented, s.returned, history_.starts(), store_->requests(), folder_);
+        const auto left = history_.unfinished();
+        for (const auto& id : left) std::cout << "unfinished " << id << "\n";
+        for (const auto& b : history_.broken()) std::cout << "BROKEN     " << b << "\n";
+        std::cout << fmt::format("rules      {}\n", history_.broken().empty() ? "none broken" : "broken, see above");
+        if (o_.faults) std::cout << fmt::format("seed       {}\n", o_.seed);
+        return history_.broken().empty() && (left.empty() || o_.stay) && ended_ == 0 ? 0 : 1;
+    }
+
+    LocalOptions o_;
+    std::mt19937 rng_;
+    uv_loop_t loop_{};
+    double began_ = 0, next_fault_ = 4, store_well_at_ = -1, cloud_well_at_ = -1, next_line_ = 1;
+    std::string folder_;
+    History history_;
+    std::unique_ptr<HttpClient> users_;
+    std::unique_ptr<store::StoreServer> store_;
+    std::unique_ptr<Platform> platform_;
+    std::vector<Controller> nodes_;
+    std::vector<User> users_wanted_;
+    uv_timer_t* tick_ = nullptr;
+    uv_signal_t* interrupt_ = nullptr;
+    int ended_ = 0;
+};
+
+} // namespace
+
+int run_local(const LocalOptions& options) {
+    std::signal(SIGPIPE, SIG_IGN);
+    Local local(options);
+    return local.run();
+}
+
+} // namespace heronshift::local
--- /dev/null
+++ b/tests/test_local.cpp
@@ -0,0 +1,215 @@
+// The stand-in platform: its checks can fail, and its worker keeps the protocol's side of the bargain.
+#include "heronshift/codec.hpp"
+#include "heronshift/local/cloud.hpp"
+#include "heronshift/local/history.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace heronshift::local {
+namespace {
+
+JobSpec array(const std::string& id, std::uint32_t tasks = 3) {
+    JobSpec s;
+    s.id = id;
+    s.team = "red";
+    s.tasks = tasks;
+    s.each = {2, 0, 2};
+    s.image = "img";
+    s.image_gb = 0.1;
+    s.estimate_s = 0.1;
+    return s;
+}
+
+struct Told : ::testing::Test {
+    History h{{{"red", 4, 8, 0, 0}}, 10};
+    History::Place here{"n-1", "m8", "a", false}, there{"n-2", "m8", "b", false}, spot{"n-3", "m8", "a", true};
+    std::string first() {
+        return h.broken().empty() ? "" : h.broken().front().substr(0, h.broken().front().find(':'));
+    }
+};
+
+TEST_F(Told, ATaskInTwoPlaces) {
+    h.submitted(array("wk-1"));
+    h.on_machine("wk-1", 0, here, 1);
+    h.off_machine("wk-1", 0, "n-1");
+    h.on_machine("wk-1", 0, there, 2);
+    EXPECT_EQ(first(), "");
+    h.on_machine("wk-1", 0, here, 3);
+    EXPECT_EQ(first(), "ran_twice");
+}
+
+TEST_F(Told, AboveTheLimit) {
+    h.submitted(array("wk-1", 9));
+    for (std::uint32_t i = 0; i < 4; ++i) h.on_machine("wk-1", i, here, 1);
+    EXPECT_EQ(first(), "");
+    h.on_machine("wk-1", 4, here, 1);
+    EXPECT_EQ(first(), "quota");
+}
+
+TEST_F(Told, InTheWrongPlace) {
+    auto s = array("wk-1");
+    s.spread = true;
+    h.submitted(s);
+    h.on_machine("wk-1", 0, here, 1);
+    h.on_machine("wk-1", 1, here, 1);
+    EXPECT_EQ(first(), "");
+    h.on_machine("wk-1", 2, here, 1); // two of three may be in one zone
+    EXPECT_EQ(first(), "wrong_place");
+    History other{{}, 10};
+    other.submitted(array("wk-2"));
+    other.on_machine("wk-2", 0, spot, 1); // it may not use spot machines
+    EXPECT_EQ(other.broken().size(), 1U);
+}
+
+TEST_F(Told, TooEarly) {
+    h.submitted(array("wk-1", 1));
+    auto s = array("wk-2", 1);
+    s.needs = {"wk-1"};
+    h.submitted(s);
+    h.task_done("wk-1", 0);
+    h.on_machine("wk-2", 0, here, 1);
+    EXPECT_EQ(first(), "");
+    auto t = array("wk-3", 1);
+    t.needs = {"wk-2"};
+    h.submitted(t);
+    h.on_machine("wk-3", 0, here, 2);
+    EXPECT_EQ(first(), "too_early");
+}
+
+TEST_F(Told, CancelledAndStillThere) {
+    h.submitted(array("wk-1"));
+    h.cancel_asked("wk-1");
+    h.on_machine("wk-1", 0, here, 1);
+    h.told("wk-1", 200, "withdrawn", 2);
+    h.check(11);
+    EXPECT_EQ(first(), "");
+    h.check(13);
+    EXPECT_EQ(first(), "ran_cancelled");
+}
+
+TEST_F(Told, AnswersThatCannotBe) {
+    h.told("wk-9", 404, "", 1);
+    EXPECT_EQ(first(), "");
+    h.told("wk-9", 200, "pending", 1);
+    EXPECT_EQ(first(), "invented");
+    History two{{}, 10};
+    two.submitted(array("wk-1", 1));
+    two.told("wk-1", 404, "", 1); // not accepted yet
+    two.told("wk-1", 201, "pending", 1);
+    EXPECT_TRUE(two.broken().empty());
+    two.told("wk-1", 404, "", 2);
+    ASSERT_EQ(two.broken().size(), 1U);
+    two.told("wk-1", 200, "done", 3); // no task is
+    EXPECT_EQ(two.broken().size(), 2U);
+    two.told("wk-1", 200, "running", 4);
+    EXPECT_EQ(two.broken().size(), 3U);
+    History three{{}, 10};
+    three.submitted(array("wk-1", 1));
+    three.told("wk-1", 200, "withdrawn", 1); // nobody asked for it
+    EXPECT_EQ(three.broken().size(), 1U);
+}
+
+TEST_F(Told, AJobAcceptedAndNeverOver) {
+    h.submitted(array("wk-1", 1));
+    h.submitted(array("wk-2", 1));
+    h.told("wk-1", 201, "pending", 1);
+    EXPECT_EQ(h.unfinished(), std::vector<std::string>{"wk-1"});
+    h.task_done("wk-1", 0);
+    h.told("wk-1", 200, "done", 2);
+    EXPECT_TRUE(h.unfinished().empty());
+}
+
+// A platform with one machine and nobody to report to, asked over the wire.
+struct Wire : ::testing::Test {
+    uv_loop_t loop{};
+    History history{{}, 10};
+    std::unique_ptr<Platform> platform;
+    std::unique_ptr<HttpClient> client;
+    std::string cloud, machine;
+
+    Wire() {
+        uv_loop_init(&loop);
+        PlatformPlan plan;
+        plan.types = {{"m8", {8, 0, 32}, 20, 1, 1, 0.3, 0.01, {"a"}}};
+        plan.capacity = 2;
+        plan.workers.lease_s = 3600;
+        platform = std::make_unique<Platform>(&loop, plan, history);
+        client = std::make_unique<HttpClient>(&loop, 4, 16);
+        EXPECT_EQ(platform->start({"127.0.0.1", 0}), 0);
+        cloud = fmt("127.0.0.1:", platform->port());
+        platform->know(array("wk-1"));
+        history.submitted(array("wk-1"));
+    }
+    ~Wire() override {
+        platform.reset();
+        client.reset();
+        uv_run(&loop, UV_RUN_DEFAULT);
+        uv_loop_close(&loop);
+    }
+    Wire(const Wire&) = delete;
+    Wire& operator=(const Wire&) = delete;
+
+    static std::string fmt(const char* a, int b) {
+        return a + std::to_string(b);
+    }
+    HttpReply ask(const std::string& at, const char* method, const std::string& path, const std::string& body = "") {
+        std::optional<HttpReply> got;
+        client->request(at, method, path, body, 20, [&](HttpReply&& r) { got = std::move(r); });
+        while (!got) {
+            uv_run(&loop, UV_RUN_ONCE);
+            client->sweep();
+        }
+        return *got;
+    }
+    void rent() {
+        const auto r = ask(cloud, "POST", "/rentals", codec::rental("r-1-1", "m8", "a", false, 1));
+        ASSERT_EQ(r.status, 200);
+        while (machine.empty()) {
+            const auto page = codec::machine_page(ask(cloud, "GET", "/rentals?most=500").body);
+            if (page && page->machines.at(0).status == "running") machine = page->machines.at(0).addr;
+        }
+    }
+    Report command(std::uint64_t fence, std::uint64_t tenure, const std::vector<Order>& list, int status = 200) {
+        const auto r = ask(machine, "POST", "/commands", codec::commands(fence, tenure, list));
+        EXPECT_EQ(r.status, status);
+        return codec::report(r.body).value_or(Report{});
+    }
+};
+
+TEST_F(Wire, AClaimRentsOnce) {
+    const auto body = codec::rental("r-1-7", "m8", "a", false, 2);
+    const auto first = ask(cloud, "POST", "/rentals", body), again = ask(cloud, "POST", "/rentals", body);
+    EXPECT_EQ(first.status, 200);
+    EXPECT_EQ(first.body, again.body);
+    EXPECT_EQ(platform->sum().machines, 2U);
+    const auto more = ask(cloud, "POST", "/rentals", codec::rental("r-1-8", "m8", "a", false, 1));
+    EXPECT_EQ(more.status, 503);
+    EXPECT_NE(more.body.find("no capacity"), std::string::npos);
+    EXPECT_EQ(ask(cloud, "POST", "/rentals", "{}").status, 400);
+    const auto names = codec::rented(first.body);
+    EXPECT_EQ(ask(cloud, "POST", "/rentals/release", codec::release(*names)).status, 200);
+    EXPECT_EQ(platform->sum().machines, 0U);
+}
+
+TEST_F(Wire, AWorkerObeysTheHighestFenceAndItsTenure) {
+    rent();
+    auto r = command(7, 1, {{Verb::launch, "wk-1", 0, 1, 0}});
+    ASSERT_EQ(r.tasks.size(), 1U);
+    EXPECT_EQ(r.fence, 7U);
+    EXPECT_EQ(command(6, 1, {{Verb::launch, "wk-1", 1, 1, 0}}, 409).tasks.size(), 1U);
+    EXPECT_EQ(command(7, 2, {{Verb::launch, "wk-1", 1, 1, 0}}, 409).tasks.size(), 1U);
+    EXPECT_EQ(ask(machine, "POST", "/commands", "{}").status, 400);
+    // The same attempt again has no effect; another is refused while this one is here.
+    EXPECT_EQ(command(7, 1, {{Verb::launch, "wk-1", 0, 1, 0}}).tasks.size(), 1U);
+    r = command(7, 1, {{Verb::launch, "wk-1", 0, 2, 0}, {Verb::launch, "wk-404", 0, 1, 0}});
+    ASSERT_EQ(r.tasks.size(), 3U);
+    EXPECT_EQ(r.tasks[1].cause, ExitCause::busy);
+    EXPECT_EQ(r.tasks[2].cause, ExitCause::unknown);
+    r = command(8, 1, {{Verb::stop, "wk-1", 0, 1, 0}, {Verb::reap, "wk-1", 0, 2, 0}, {Verb::reap, "wk-404", 0, 1, 0}});
+    ASSERT_EQ(r.tasks.size(), 1U);
+    EXPECT_EQ(r.tasks[0].state, TaskState::ended);
+}
+
+} // namespace
+} // namespace heronshift::local
