heronshift local runs jobs submitted from outside too

Cause: README's curl commands were accepted and never ran, since the stand-in machines knew only the load's jobs. They read a job's description from the state service now.

--- a/include/heronshift/local/cloud.hpp
+++ b/include/heronshift/local/cloud.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -88,6 +89,8 @@
     void know(const JobSpec& s) { // its user has uploaded it
         jobs_[s.id] = s;
     }
+    // For jobs of users from outside: their description, if there is one.
+    std::function<std::optional<JobSpec>(const std::string& id)> ask;
     bool out = false; // an outage of the cloud
     // A random machine that is up, or none.
     StandInWorker* any();
--- a/include/heronshift/store/server.hpp
+++ b/include/heronshift/store/server.hpp
@@ -19,6 +19,9 @@
     [[nodiscard]] int port() const {
         return server_.port();
     }
+    [[nodiscard]] Engine& engine() {
+        return *engine_;
+    }
     // When an outage ends, all holds have their full time again.
     void set_mood(Mood m);
     [[nodiscard]] std::uint64_t requests() const {
--- a/src/local/cloud.cpp
+++ b/src/local/cloud.cpp
@@ -57,6 +57,11 @@
 }
 
 void StandInWorker::launch(const Order& o, double now) {
+    if (!p_.jobs_.contains(o.job) && p_.ask)
+        if (const auto s = p_.ask(o.job); s) {
+            p_.know(*s);
+            p_.history_.submitted(*s);
+        }
     const auto& specs = p_.jobs_;
     Run r;
     r.t = {o.job, o.index, o.try_no, TaskState::fetching, ExitCause::none, false};
--- a/src/local/local.cpp
+++ b/src/local/local.cpp
@@ -167,6 +167,12 @@
         }
         platform_ = std::make_unique<Platform>(&loop_, std::move(plan), history_);
         if (platform_->start({"127.0.0.1", 0}) != 0) return "the cloud cannot listen";
+        platform_->ask = [this](const std::string& id) -> std::optional<JobSpec> {
+            const auto row = store_->engine().data().get("j/" + id);
+            auto j = row ? codec::stored_job(codec::parse(row->data), 0) : std::nullopt;
+            if (!j) return {};
+            return std::move(j->spec);
+        };
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             if (!write_settings(i)) return nodes_[i].config + ": cannot be written";
             if (!spawn(nodes_[i])) return "a controller cannot be started";
