heronshift::Scheduler: embedded on the program's loop or on a thread, its state in a file

Need: the ferry booking service carries the scheduler in its own process. Submissions, polls and cancellations go through the node's own handlers without a socket, so they are checked and refused as the daemon does; one path, not two. Final states are subscribed to from the store. The node closes its handles, a store finishes what was asked for before its end, and the scheduler may be destroyed inside its own callback.

--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -115,6 +115,10 @@
     local_verb->add_option("--seed", local.seed, "of load and troubles")->capture_default_str();
     local_verb->add_flag("--faults", local.faults, "kill, cut, hang and silence things now and then");
     local_verb->add_option("--folder", local.folder, "for settings and logs");
+    local_verb
+        ->add_option("--serve-port", local.serve_port,
+                     "stand-ins only: machines report to the scheduler of another program at this port")
+        ->check(CLI::Range(1, 65535));
     local_verb->add_flag("--stay", local.stay, "go on serving after the load, until interrupted");
     app.add_option("--state-file", state_file, "keep state in this file (SQLite) instead of the state service");
     auto* backup_verb = app.add_subcommand("backup", "copy a state file, also while it is in use");
--- a/include/heronshift/http.hpp
+++ b/include/heronshift/http.hpp
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <uv.h>
 #include <vector>
 
@@ -32,10 +33,26 @@
 public:
     Responder() = default;
     explicit Responder(std::shared_ptr<ServerConnection> c) : conn_(std::move(c)) {}
+    // For a caller in this process; called once, with status 0 if nobody ever answers.
+    using Direct = std::function<void(int status, std::string_view body, int retry_after_s)>;
+    explicit Responder(Direct f) : direct_(std::make_shared<Once>(std::move(f))) {}
     void send(int status, std::string_view body, int retry_after_s = 0) const;
 
 private:
+    struct Once {
+        explicit Once(Direct d) : f(std::move(d)) {}
+        ~Once() {
+            send(0, {}, 0);
+        }
+        Once(const Once&) = delete;
+        Once& operator=(const Once&) = delete;
+        void send(int status, std::string_view body, int retry_after_s) {
+            if (const auto once = std::exchange(f, nullptr); once) once(status, body, retry_after_s);
+        }
+        Direct f;
+    };
     std::shared_ptr<ServerConnection> conn_;
+    std::shared_ptr<Once> direct_;
 };
 
 class HttpServer {
--- a/include/heronshift/local/cloud.hpp
+++ b/include/heronshift/local/cloud.hpp
@@ -86,6 +86,9 @@
     [[nodiscard]] int port() const {
         return server_.port();
     }
+    void report_to(std::vector<std::pair<std::string, std::string>> nodes) {
+        plan_.workers.nodes = std::move(nodes);
+    }
     void know(const JobSpec& s) { // its user has uploaded it
         jobs_[s.id] = s;
     }
--- a/include/heronshift/local/local.hpp
+++ b/include/heronshift/local/local.hpp
@@ -15,6 +15,9 @@
     std::string folder;  // of settings and logs; empty: one under the system's temporary folder
     std::string program; // the controllers'; empty: this one
     bool stay = false;   // go on serving after the load, until interrupted
+    // Only the stand-ins, for a program that embeds the scheduler or a daemon of your own, whose port for
+    // workers this is: no controllers, no load, until interrupted.
+    int serve_port = 0;
 };
 
 // 0: all that was accepted came to its end and no rule was broken; 1: not so; 2: it could not start.
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -41,6 +41,25 @@
     }
     int start(); // 0 or a libuv error
     void stop();
+    // A user's request from inside this process, answered as one that came over the network.
+    void call(HttpRequest&& r, Responder res) {
+        ++requests_;
+        serve(std::move(r), std::move(res), false);
+    }
+    void after(double delay_s, std::function<void()> f); // on the loop, while the node lives
+    void each_tick(std::function<void()> f) {            // some thirty times in report_s
+        on_tick_ = std::move(f);
+    }
+    [[nodiscard]] store::StateStore& state() {
+        return *store_;
+    }
+    [[nodiscard]] bool holds_office() const {
+        return valid();
+    }
+    // The port that workers and users reach, once started: the system's choice where 0 was asked for.
+    [[nodiscard]] int port() const {
+        return users_ ? users_->port() : 0;
+    }
 
 private:
     using Json = codec::Json;
@@ -66,7 +85,6 @@
     void follow_jobs();
     void commit(Commit c, int tries);
     void resolve_commit(Commit c, int tries);
-    void after(double delay_s, std::function<void()> f);
 
     // node.cpp
     void on_user(HttpRequest&& r, Responder res);
@@ -127,9 +145,13 @@
 
     Settings s_;
     uv_loop_t* loop_;
-    uv_timer_t tick_{}, wake_{};
-    uv_check_t check_{};
-    uv_idle_t idle_{};
+    // Outlives the node by a moment: libuv closes handles in a later turn of the loop.
+    struct Handles {
+        uv_timer_t tick{}, wake{};
+        uv_check_t check{};
+        int open = 0;
+    };
+    Handles* handles_ = nullptr;
     std::unique_ptr<HttpServer> users_, peers_;
     std::unique_ptr<store::StateStore> store_;
     HttpClient cloud_, agents_, peer_client_;
@@ -180,6 +202,7 @@
     std::vector<Later> later_;
     std::uint64_t requests_ = 0, refused_ = 0;
     double next_sweep_ = 0;
+    std::function<void()> on_tick_;
 };
 
 } // namespace heronshift
--- /dev/null
+++ b/src/embed/scheduler.cpp
@@ -0,0 +1,257 @@
+#include "heronshift/embed/scheduler.hpp"
+
+#include "heronshift/codec.hpp"
+#include "heronshift/node.hpp"
+#include "heronshift/store/file_data.hpp"
+#include "heronshift/store/local.hpp"
+
+#include <atomic>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <system_error>
+#include <thread>
+
+namespace heronshift {
+
+// Lives on its loop and is kept by the Scheduler and, until its handle is closed, by itself: so it may
+// be let go inside one of its own callbacks.
+class Scheduler::Inner : public std::enable_shared_from_this<Inner> {
+public:
+    Inner(uv_loop_t* loop, SchedulerOptions o) : loop_(loop), o_(std::move(o)) {}
+
+    // On the loop's thread. Throws what the constructors of Scheduler do.
+    void start() {
+        std::unique_ptr<store::StateStore> state;
+        if (o_.state) {
+            state = o_.state(loop_);
+        } else if (!o_.state_file.empty()) {
+            const store::Limits limits{0, 0, o_.settings.txn_ops, o_.settings.value_kb};
+            auto engine = std::make_unique<store::Engine>(store::file_data(o_.state_file), limits);
+            state = std::make_unique<store::LocalStore>(loop_, std::move(engine), o_.state_file);
+        }
+        node_ = std::make_unique<Node>(loop_, o_.settings, std::move(state));
+        if (const int e = node_->start(); e != 0) {
+            node_.reset();
+            throw std::system_error(-e, std::generic_category(), "the scheduler cannot listen");
+        }
+        port_ = node_->port();
+        node_->each_tick([this] { acts = node_->holds_office(); });
+        async_ = new uv_async_t;
+        uv_async_init(loop_, async_, [](uv_async_t* a) {
+            if (a->data != nullptr) static_cast<Inner*>(a->data)->run();
+        });
+        async_->data = this;
+        self_ = shared_from_this();
+    }
+
+    // From any thread; f runs on the loop's.
+    void post(std::function<void(Inner&)> f) {
+        const std::lock_guard l(lock_);
+        if (ended_) return;
+        queue_.push_back(std::move(f));
+        uv_async_send(async_);
+    }
+
+    void call(const char* method, std::string path, std::string body, Done done) {
+        post([method, path = std::move(path), body = std::move(body), done = std::move(done)](Inner& in) mutable {
+            if (!in.node_) return in.answer(done, 0, {}, 0);
+            in.node_->call({method, std::move(path), {}, std::move(body)},
+                           Responder([&in, done = std::move(done)](int status, std::string_view text, int after) {
+                               in.answer(done, status, text, after);
+                           }));
+        });
+    }
+
+    void subscribe(Watch w) {
+        post([w = std::move(w)](Inner& in) mutable {
+            in.watches_.push_back(std::move(w));
+            if (in.watches_.size() == 1) in.watch_from_now();
+        });
+    }
+
+    // end: nothing more is called, and all is torn down in a turn of the loop's own.
+    void finish(bool end) {
+        if (end) silent_ = true;
+        post([end](Inner& in) {
+            if (in.node_) in.node_->stop();
+            in.stopping_ = true;
+            in.end_now_ = in.end_now_ || end;
+        });
+    }
+
+    [[nodiscard]] bool on_loop() const {
+        return std::this_thread::get_id() == thread_id;
+    }
+    std::thread thread;
+    std::atomic<std::thread::id> thread_id;
+    std::atomic<bool> acts{false};
+    [[nodiscard]] int port() const {
+        return port_;
+    }
+
+private:
+    void answer(const Done& done, int status, std::string_view body, int after) {
+        if (silent_ || !done) return;
+        Reply r;
+        r.status = status;
+        r.retry_after_s = after;
+        if (const auto a = codec::job_answer_of(body); r.ok() && a) {
+            r.id = a->id;
+            r.state = a->status;
+            r.done = a->done;
+            r.running = a->running;
+        } else {
+            r.error = codec::store_error(body);
+        }
+        done(r);
+    }
+
+    void run() {
+        const auto keep = shared_from_this();
+        std::deque<std::function<void(Inner&)>> list;
+        {
+            const std::lock_guard l(lock_);
+            list.swap(queue_);
+        }
+        for (auto& f : list) f(*this);
+        if (!stopping_ || (!node_ && !end_now_)) return;
+        // No call of the node's is on the stack here.
+        node_.reset();
+        acts = false;
+        if (!end_now_) return;
+        {
+            const std::lock_guard l(lock_);
+            ended_ = true;
+            queue_.clear();
+        }
+        uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(async_, nullptr)), [](uv_handle_t* h) {
+            const auto last = std::move(static_cast<Inner*>(h->data)->self_);
+            delete reinterpret_cast<uv_async_t*>(h);
+        });
+    }
+
+    // Final states are stored before they are told, so the store's changes are all there is to tell.
+    void watch_from_now() {
+        if (!node_) return;
+        node_->state().list("f/", "", 1, o_.settings.report_s, [this](store::Answer&& a) {
+            if (a.status != 200) return again();
+            follow(a.epoch);
+        });
+    }
+
+    void again() { // after a pause that costs the store little
+        if (!node_) return;
+        node_->after(o_.settings.report_s, [this] {
+            for (const auto& w : watches_)
+                if (!silent_) w({{}, {}, true});
+            watch_from_now();
+        });
+    }
+
+    void follow(std::uint64_t since) {
+        if (!node_) return;
+        node_->state().follow("f/", since, o_.settings.lease_s, [this, since](store::Answer&& a) {
+            if (a.status != 200) return again();
+            for (const auto& i : a.items) {
+                const auto final = i.deleted ? std::nullopt : codec::stored_final(i.value);
+                if (!final) continue;
+                for (const auto& w : watches_)
+                    if (!silent_) w({i.key.substr(2), final->status, false});
+            }
+            follow(std::max(since, a.epoch));
+        });
+    }
+
+    uv_loop_t* loop_;
+    SchedulerOptions o_;
+    std::unique_ptr<Node> node_;
+    uv_async_t* async_ = nullptr;
+    std::shared_ptr<Inner> self_;
+    std::mutex lock_;
+    std::deque<std::function<void(Inner&)>> queue_;
+    std::vector<Watch> watches_;
+    std::atomic<bool> silent_{false};
+    bool ended_ = false, stopping_ = false, end_now_ = false;
+    int port_ = 0;
+};
+
+Scheduler::Scheduler(uv_loop_t* loop, SchedulerOptions options)
+    : inner_(std::make_shared<Inner>(loop, std::move(options))) {
+    inner_->thread_id = std::this_thread::get_id();
+    inner_->start();
+}
+
+Scheduler::Scheduler(SchedulerOptions options) {
+    std::promise<std::shared_ptr<Inner>> started;
+    auto result = started.get_future();
+    std::thread t([o = std::move(options), started = std::move(started)]() mutable {
+        uv_loop_t loop;
+        uv_loop_init(&loop);
+        auto inner = std::make_shared<Inner>(&loop, std::move(o));
+        inner->thread_id = std::this_thread::get_id();
+        try {
+            inner->start();
+            started.set_value(std::move(inner));
+        } catch (...) {
+            started.set_exception(std::current_exception());
+        }
+        inner.reset();
+        uv_run(&loop, UV_RUN_DEFAULT); // until the scheduler has ended and all handles are closed
+        uv_loop_close(&loop);
+    });
+    try {
+        inner_ = result.get();
+    } catch (...) {
+        t.join();
+        throw;
+    }
+    inner_->thread = std::move(t);
+}
+
+Scheduler::~Scheduler() {
+    const bool own = inner_->on_loop();
+    auto thread = std::move(inner_->thread);
+    inner_->finish(true);
+    inner_.reset();
+    if (!thread.joinable()) return;
+    if (own)
+        thread.detach(); // its loop ends by itself
+    else
+        thread.join();
+}
+
+void Scheduler::submit(const JobSpec& job, Done done) {
+    submit(codec::to_body(job), std::move(done));
+}
+
+void Scheduler::submit(std::string json, Done done) {
+    inner_->call("POST", std::string(codec::path_jobs), std::move(json), std::move(done));
+}
+
+void Scheduler::get(const std::string& id, Done done) {
+    inner_->call("GET", std::string(codec::path_jobs) + "/" + id, {}, std::move(done));
+}
+
+void Scheduler::cancel(const std::string& id, Done done) {
+    inner_->call("POST", std::string(codec::path_jobs) + "/" + id + "/" + std::string(codec::suffix_cancel), {},
+                 std::move(done));
+}
+
+void Scheduler::subscribe(Watch watch) {
+    inner_->subscribe(std::move(watch));
+}
+
+void Scheduler::stop() {
+    inner_->finish(false);
+}
+
+bool Scheduler::acts() const {
+    return inner_->acts;
+}
+
+int Scheduler::port() const {
+    return inner_->port();
+}
+
+} // namespace heronshift
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -196,6 +196,7 @@
 
 void Responder::send(int status, std::string_view body, int retry_after_s) const {
     if (conn_) conn_->respond(status, body, retry_after_s);
+    if (direct_) direct_->send(status, body, retry_after_s);
 }
 
 HttpServer::HttpServer(uv_loop_t* loop, std::size_t most, double idle_s, Handler handler)
--- a/src/local/local.cpp
+++ b/src/local/local.cpp
@@ -157,7 +157,7 @@
         plan.workers.lease_s = lease_s;
         plan.types = types();
         plan.seed = o_.seed;
-        for (int i = 0; i < nodes; ++i) {
+        for (int i = 0; i < (o_.serve_port > 0 ? 0 : nodes); ++i) {
             Controller c;
             c.name = fmt::format("berth-{}", i);
             c.config = fmt::format("{}/{}.toml", folder_, c.name);
@@ -165,19 +165,36 @@
             plan.workers.nodes.emplace_back(c.name, fmt::format("127.0.0.1:{}", c.user.number()));
             nodes_.push_back(std::move(c));
         }
+        if (o_.serve_port > 0) plan.workers.nodes.emplace_back("alone", fmt::format("127.0.0.1:{}", o_.serve_port));
         platform_ = std::make_unique<Platform>(&loop_, std::move(plan), history_);
         if (platform_->start({"127.0.0.1", 0}) != 0) return "the cloud cannot listen";
         platform_->ask = [this](const std::string& id) -> std::optional<JobSpec> {
             const auto row = store_->engine().data().get("j/" + id);
             auto j = row ? codec::stored_job(codec::parse(row->data), 0) : std::nullopt;
-            if (!j) return {};
-            return std::move(j->spec);
+            if (j) return std::move(j->spec);
+            if (o_.serve_port == 0) return {};
+            // Kept in the other program's own store, where nobody here can read it: some task that runs a second.
+            JobSpec any;
+            any.id = id;
+            any.tasks = codec::most_tasks;
+            any.spot = true;
+            any.estimate_s = 1;
+            return any;
         };
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            if (!write_settings(i)) return nodes_[i].config + ": cannot be written";
+            const auto& c = nodes_[i];
+            if (!write_settings(c.config, c.name, c.user.number(), c.peer.number()))
+                return nodes_[i].config + ": cannot be written";
             if (!spawn(nodes_[i])) return "a controller cannot be started";
         }
-        plan_load();
+        if (o_.serve_port > 0) {
+            const auto path = folder_ + "/settings.toml";
+            if (!write_settings(path, "alone", o_.serve_port, spare_.number())) return path + ": cannot be written";
+            say("settings for the program that schedules here: " + path);
+            o_.stay = true;
+        } else {
+            plan_load();
+        }
         tick_ = new uv_timer_t;
         uv_timer_init(&loop_, tick_);
         tick_->data = this;
@@ -194,14 +211,14 @@
         return {};
     }
 
-    bool write_settings(std::size_t me) {
-        std::ofstream f(nodes_[me].config);
-        f << fmt::format("host_name = \"{}\"\nzone = \"a\"\nbind = \"127.0.0.1:{}\"\nback = \"127.0.0.1:{}\"\n",
-                         nodes_[me].name, nodes_[me].user.number(), nodes_[me].peer.number());
-        for (std::size_t i = 0; i < nodes_.size(); ++i)
-            if (i != me)
+    bool write_settings(const std::string& path, const std::string& name, int user, int peer) {
+        std::ofstream f(path);
+        f << fmt::format("host_name = \"{}\"\nzone = \"a\"\nbind = \"127.0.0.1:{}\"\nback = \"127.0.0.1:{}\"\n", name,
+                         user, peer);
+        for (const auto& c : nodes_)
+            if (c.name != name)
                 f << fmt::format("\n[[others]]\nhost_name = \"{}\"\nzone = \"a\"\npeer_addr = \"127.0.0.1:{}\"\n",
-                                 nodes_[i].name, nodes_[i].peer.number());
+                                 c.name, c.peer.number());
         f << fmt::format("\n[external]\ncloud = \"127.0.0.1:{}\"\nstate = \"127.0.0.1:{}\"\n", platform_->port(),
                          store_->port());
         f << "\n[facts]\ninitial_size = 0\nzones = [\"a\", \"b\"]\ntime_bound_ms = 100.0\n";
@@ -481,6 +498,7 @@
     std::unique_ptr<store::StoreServer> store_;
     std::unique_ptr<Platform> platform_;
     std::vector<Controller> nodes_;
+    Port spare_; // for the peers of a program that has none
     std::vector<User> users_wanted_;
     uv_timer_t* tick_ = nullptr;
     uv_signal_t* interrupt_ = nullptr;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -46,7 +46,17 @@
       // Short, so that others take over soon: outages of the store are bridged by promises.
       tenancy_(std::min(s_.report_s, s_.lease_s / 5), s_.peers.size(), now()) {}
 
-Node::~Node() = default;
+Node::~Node() {
+    if (handles_ == nullptr) return;
+    for (auto* h : {reinterpret_cast<uv_handle_t*>(&handles_->tick), reinterpret_cast<uv_handle_t*>(&handles_->wake),
+                    reinterpret_cast<uv_handle_t*>(&handles_->check)}) {
+        h->data = handles_;
+        uv_close(h, [](uv_handle_t* x) {
+            auto* all = static_cast<Handles*>(x->data);
+            if (--all->open == 0) delete all;
+        });
+    }
+}
 
 double Node::now() const {
     return static_cast<double>(uv_hrtime()) * 1e-9;
@@ -68,15 +78,17 @@
     });
     if (const int e = users_->listen(s_.listen); e != 0) return e;
     if (const int e = peers_->listen(s_.peer_listen); e != 0) return e;
-    uv_timer_init(loop_, &tick_);
-    uv_timer_init(loop_, &wake_);
-    uv_check_init(loop_, &check_);
-    tick_.data = wake_.data = check_.data = this;
+    handles_ = new Handles;
+    handles_->open = 3;
+    uv_timer_init(loop_, &handles_->tick);
+    uv_timer_init(loop_, &handles_->wake);
+    uv_check_init(loop_, &handles_->check);
+    handles_->tick.data = handles_->wake.data = handles_->check.data = this;
     const auto period = static_cast<std::uint64_t>(s_.report_s * 1000 / 30);
     uv_timer_start(
-        &tick_, [](uv_timer_t* t) { static_cast<Node*>(t->data)->tick(); }, 1, period);
+        &handles_->tick, [](uv_timer_t* t) { static_cast<Node*>(t->data)->tick(); }, 1, period);
     // Commands gather while the loop handles what has arrived, then the core takes them at once.
-    uv_check_start(&check_, [](uv_check_t* c) { static_cast<Node*>(c->data)->run_core(); });
+    uv_check_start(&handles_->check, [](uv_check_t* c) { static_cast<Node*>(c->data)->run_core(); });
     watch_office();
     learn_types();
     return 0;
@@ -84,8 +96,10 @@
 
 void Node::stop() {
     if (office_ == Office::held) step_down("this node is ending");
-    uv_timer_stop(&tick_);
-    uv_check_stop(&check_);
+    if (handles_ != nullptr) {
+        uv_timer_stop(&handles_->tick);
+        uv_check_stop(&handles_->check);
+    }
     users_.reset();
     peers_.reset();
 }
@@ -96,12 +110,13 @@
 }
 
 void Node::arm() {
+    if (handles_ == nullptr) return;
     double at = now() + 1;
     for (const auto& l : later_) at = std::min(at, l.at);
     if (core_) at = queue_.empty() || !valid() ? std::min(at, core_->wake_at()) : 0;
     const double in = std::max(0.0, at - now());
     uv_timer_start(
-        &wake_,
+        &handles_->wake,
         [](uv_timer_t* t) {
             auto* n = static_cast<Node*>(t->data);
             std::vector<Later> due;
@@ -124,6 +139,7 @@
 }
 
 void Node::tick() {
+    if (on_tick_) on_tick_();
     store_->sweep();
     cloud_.sweep();
     agents_.sweep();
--- a/src/store/local.cpp
+++ b/src/store/local.cpp
@@ -56,7 +56,7 @@
 
     void run() {
         std::unique_lock l(lock);
-        while (!stop) {
+        while (!stop || !queue.empty()) { // what was asked for before the end is done, such as giving a hold up
             if (queue.empty()) wake.wait_for(l, std::chrono::duration<double>(poll_s));
             std::vector<std::unique_ptr<Call>> batch;
             while (!queue.empty() && batch.size() < most_batch) {
--- /dev/null
+++ b/tests/test_scheduler.cpp
@@ -0,0 +1,240 @@
+// The embedding interface: on the program's loop and on a thread, on a file store, with stand-ins of
+// cloud and machines on loopback.
+#include "heronshift/embed/scheduler.hpp"
+
+#include "heronshift/codec.hpp"
+#include "heronshift/local/cloud.hpp"
+
+#include <atomic>
+#include <fmt/format.h>
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+#include <unistd.h>
+
+namespace heronshift {
+namespace {
+
+JobSpec job(int n, std::uint32_t tasks = 3) {
+    JobSpec s;
+    s.id = fmt::format("wk-{:06}", n);
+    s.job_class = "batch";
+    s.team = "red";
+    s.tasks = tasks;
+    s.each = {1, 0, 1};
+    s.image = "img";
+    s.image_gb = 0.01;
+    s.estimate_s = 0.1;
+    return s;
+}
+
+struct Embedded : ::testing::Test {
+    uv_loop_t loop{};
+    local::History history{{}, 15};
+    std::unique_ptr<local::Platform> platform;
+    std::string file;
+
+    Embedded() {
+        uv_loop_init(&loop);
+        file = ::testing::TempDir() + ::testing::UnitTest::GetInstance()->current_test_info()->name() + ".state";
+        remove();
+        local::PlatformPlan plan;
+        plan.types = {{"m8", {8, 0, 32}, 20, 1, 1, 0.3, 0.1, {"a"}}};
+        plan.workers.report_s = 0.6;
+        plan.workers.lease_s = 6;
+        platform = std::make_unique<local::Platform>(&loop, plan, history);
+        EXPECT_EQ(platform->start({"127.0.0.1", 0}), 0);
+    }
+    ~Embedded() override {
+        platform.reset();
+        uv_run(&loop, UV_RUN_DEFAULT);
+        uv_loop_close(&loop);
+        remove();
+    }
+    Embedded(const Embedded&) = delete;
+    Embedded& operator=(const Embedded&) = delete;
+    void remove() const {
+        for (const auto* end : {"", "-wal", "-shm"}) std::remove((file + end).c_str());
+    }
+    SchedulerOptions options() {
+        SchedulerOptions o;
+        auto& s = o.settings;
+        s.name = "copy";
+        s.zones = {"a"};
+        s.listen = s.peer_listen = {"127.0.0.1", 0};
+        s.cloud = {"127.0.0.1", platform->port()};
+        s.teams = {{"red", 0, 0, 0, 0}};
+        s.report_s = 0.6;
+        s.lease_s = 6;
+        s.cloud_rps = 50;
+        s.list_lag_s = 0.2;
+        o.state_file = file;
+        return o;
+    }
+    void reports_to(const Scheduler& s) {
+        platform->report_to({{"copy", fmt::format("127.0.0.1:{}", s.port())}});
+    }
+    void want(const JobSpec& s) {
+        platform->know(s);
+        history.submitted(s);
+    }
+    // Turns the loop until it is so; no story takes this long.
+    bool until(const std::function<bool()>& over) {
+        const auto end = uv_hrtime() + 60'000'000'000ULL;
+        bool so = false;
+        while (!(so = over()) && uv_hrtime() < end) {
+            uv_run(&loop, UV_RUN_NOWAIT);
+            usleep(1000);
+        }
+        return so;
+    }
+    // Submits as a user does: again while the answer is "not now".
+    void submit(Scheduler& s, const JobSpec& j, Reply* into) {
+        s.submit(j, [this, &s, j, into](const Reply& r) {
+            *into = r;
+            if (r.status == 503 || r.status == 429) submit(s, j, into);
+        });
+    }
+    Reply ask(const std::function<void(Scheduler::Done)>& call) {
+        std::atomic<bool> got = false;
+        Reply out;
+        call([&](const Reply& r) {
+            out = r;
+            got = true;
+        });
+        EXPECT_TRUE(until([&] { return got.load(); }));
+        return out;
+    }
+};
+
+TEST_F(Embedded, RunsJobsOnTheProgramsLoop) {
+    auto s = std::make_unique<Scheduler>(&loop, options());
+    reports_to(*s);
+    std::vector<Change> changes;
+    s->subscribe([&](const Change& c) { changes.push_back(c); });
+    want(job(1));
+    auto next = job(2);
+    next.needs = {"wk-000001"};
+    want(next);
+    Reply a, b;
+    submit(*s, job(1), &a);
+    ASSERT_TRUE(until([&] { return a.ok(); }));
+    EXPECT_EQ(a.status, 201);
+    EXPECT_EQ(a.state, "pending");
+    submit(*s, next, &b);
+    ASSERT_TRUE(until([&] { return changes.size() >= 2; }));
+    EXPECT_EQ(changes[0].id, "wk-000001");
+    EXPECT_EQ(changes[1].id, "wk-000002");
+    EXPECT_EQ(changes[1].state, "done");
+    EXPECT_EQ(ask([&](auto d) { s->get("wk-000002", d); }).state, "done");
+    EXPECT_EQ(ask([&](auto d) { s->submit(job(1), d); }).status, 200); // known already
+    EXPECT_EQ(ask([&](auto d) { s->cancel("wk-000001", d); }).state, "done");
+    EXPECT_TRUE(s->acts());
+    EXPECT_TRUE(history.broken().empty());
+}
+
+TEST_F(Embedded, RefusesAsTheDaemonDoes) {
+    Scheduler s(&loop, options());
+    ASSERT_TRUE(until([&] { return s.acts(); }));
+    EXPECT_EQ(ask([&](auto d) { s.submit(std::string("{"), d); }).status, 400);
+    const auto bad = ask([&](auto d) { s.submit(std::string(R"({"id":"wk-000001"})"), d); });
+    EXPECT_EQ(bad.status, 400);
+    EXPECT_NE(bad.error.find("is missing"), std::string::npos) << bad.error;
+    auto j = job(3);
+    j.team = "nobody";
+    Reply r;
+    submit(s, j, &r);
+    ASSERT_TRUE(until([&] { return r.status == 422; }));
+    EXPECT_NE(r.error.find("owner"), std::string::npos);
+    EXPECT_EQ(ask([&](auto d) { s.get("wk-000099", d); }).status, 404);
+    EXPECT_EQ(ask([&](auto d) { s.get("nonsense", d); }).status, 404);
+}
+
+TEST_F(Embedded, SaysAtOnceWhatKeepsItFromStarting) {
+    auto o = options();
+    o.state_file = "/no/such/folder/state";
+    EXPECT_THROW(Scheduler(&loop, o), std::runtime_error);
+    EXPECT_THROW(Scheduler{o}, std::runtime_error); // and on a thread
+    o = options();
+    o.settings.listen = {"127.0.0.1", platform->port()};
+    EXPECT_THROW(Scheduler{o}, std::system_error);
+}
+
+TEST_F(Embedded, OnAThreadItTakesCallsFromAnyThread) {
+    auto s = std::make_unique<Scheduler>(options());
+    reports_to(*s);
+    constexpr int callers = 4, each = 5;
+    for (int n = 0; n < callers * each; ++n) want(job(n + 1, 1));
+    std::atomic<int> accepted = 0;
+    std::vector<std::thread> threads;
+    for (int c = 0; c < callers; ++c)
+        threads.emplace_back([&, c] {
+            for (int i = 0; i < each; ++i)
+                for (bool done = false; !done;) {
+                    std::promise<int> p;
+                    s->submit(job(c * each + i + 1, 1), [&](const Reply& r) { p.set_value(r.status); });
+                    const int status = p.get_future().get();
+                    done = status == 201 || status == 200;
+                    accepted += done;
+                    if (!done) usleep(20'000);
+                }
+        });
+    ASSERT_TRUE(until([&] { return accepted == callers * each; }));
+    for (auto& t : threads) t.join();
+    int done = 0;
+    for (int n = 0; n < callers * each; ++n)
+        EXPECT_TRUE(
+            until([&] { return ask([&](auto d) { s->get(job(n + 1).id, d); }).state == "done" && ++done > 0; }));
+    EXPECT_EQ(done, callers * each);
+    s.reset();
+    EXPECT_TRUE(history.broken().empty());
+}
+
+TEST_F(Embedded, MayBeDestroyedInsideItsOwnCallback) {
+    for (const bool on_thread : {false, true}) {
+        auto s = on_thread ? std::make_unique<Scheduler>(options()) : std::make_unique<Scheduler>(&loop, options());
+        std::atomic<bool> gone = false;
+        s->get("wk-000001", [&](const Reply&) {
+            s.reset();
+            gone = true;
+        });
+        EXPECT_TRUE(until([&] { return gone.load(); }));
+    }
+}
+
+TEST_F(Embedded, StoppedItAnswersOpenCallsAndNothingMore) {
+    Scheduler s(&loop, options());
+    s.stop();
+    s.stop();
+    EXPECT_EQ(ask([&](auto d) { s.get("wk-000001", d); }).status, 0);
+    EXPECT_FALSE(s.acts());
+}
+
+// Two copies share one file: one acts, the other answers reads truthfully and takes over.
+TEST_F(Embedded, OfTwoCopiesOneActsAndTheOtherTakesOver) {
+    auto first = options(), second = options();
+    second.settings.name = "other";
+    auto one = std::make_unique<Scheduler>(first);
+    ASSERT_TRUE(until([&] { return one->acts(); }));
+    reports_to(*one);
+    Scheduler two(second);
+    want(job(1));
+    Reply a;
+    submit(*one, job(1), &a);
+    ASSERT_TRUE(until([&] { return a.ok(); }));
+    EXPECT_TRUE(until([&] { return ask([&](auto d) { two.get("wk-000001", d); }).state == "done"; }));
+    EXPECT_TRUE(one->acts());
+    EXPECT_FALSE(two.acts());
+    one.reset();
+    ASSERT_TRUE(until([&] { return two.acts(); }));
+    platform->report_to({{"other", fmt::format("127.0.0.1:{}", two.port())}});
+    want(job(2));
+    Reply b;
+    submit(two, job(2), &b);
+    EXPECT_TRUE(until([&] { return ask([&](auto d) { two.get("wk-000002", d); }).state == "done"; }));
+    EXPECT_EQ(ask([&](auto d) { two.get("wk-000001", d); }).state, "done"); // no answer is taken back
+    EXPECT_TRUE(history.broken().empty());
+}
+
+} // namespace
+} // namespace heronshift
