--- /dev/null
+++ b/src/embed/c_api.cpp
@@ -0,0 +1,124 @@
+#include "heronshift/embed/heronshift.h"
+
+#include "heronshift/embed/scheduler.hpp"
+#include "heronshift/store/engine.hpp"
+#include "heronshift/version.hpp"
+
+#include <algorithm>
+#include <cstring>
+#include <mutex>
+#include <set>
+
+struct hs_scheduler {
+    heronshift::Scheduler scheduler;
+};
+
+namespace {
+
+// The handles that are alive, so that one that has ended, or never was, is told from one that is.
+std::mutex lock;
+std::set<const hs_scheduler*>& alive() {
+    static std::set<const hs_scheduler*> all;
+    return all;
+}
+
+bool known(const hs_scheduler* s) {
+    const std::lock_guard l(lock);
+    return s != nullptr && alive().contains(s);
+}
+
+void say(char* message, std::size_t size, const char* text) {
+    if (message == nullptr || size == 0) return;
+    const auto n = std::min(size - 1, std::strlen(text));
+    std::memcpy(message, text, n);
+    message[n] = 0;
+}
+
+heronshift::Scheduler::Done wrapped(hs_done done, void* context) {
+    return [done, context](const heronshift::Reply& r) {
+        const hs_reply reply{r.status, r.retry_after_s, r.id.c_str(),   r.state.c_str(),
+                             r.done,   r.running,       r.error.c_str()};
+        done(&reply, context);
+    };
+}
+
+// Calls f unless an argument is wrong; whatever is thrown stays here.
+template <class F> int guarded(hs_scheduler* s, bool good, F f) {
+    if (!good || !known(s)) return HS_INVALID;
+    try {
+        f(s->scheduler);
+        return HS_OK;
+    } catch (...) {
+        return HS_SYSTEM;
+    }
+}
+
+} // namespace
+
+extern "C" {
+
+int hs_start(const char* settings_path, const char* state_file, hs_scheduler** out, char* message,
+             size_t message_size) {
+    say(message, message_size, "");
+    if (out == nullptr) return HS_INVALID;
+    *out = nullptr;
+    if (settings_path == nullptr) return HS_INVALID;
+    try {
+        heronshift::SchedulerOptions o;
+        o.settings = heronshift::load_settings(settings_path);
+        if (state_file != nullptr) o.state_file = state_file;
+        auto* s = new hs_scheduler{heronshift::Scheduler(std::move(o))};
+        const std::lock_guard l(lock);
+        alive().insert(s);
+        *out = s;
+        return HS_OK;
+    } catch (const heronshift::SettingsError& e) {
+        say(message, message_size, e.what());
+        return HS_SETTINGS;
+    } catch (const heronshift::store::StoreError& e) {
+        say(message, message_size, e.what());
+        return HS_STORE;
+    } catch (const std::exception& e) {
+        say(message, message_size, e.what());
+        return HS_SYSTEM;
+    }
+}
+
+int hs_submit(hs_scheduler* s, const char* json, hs_done done, void* context) {
+    return guarded(s, json != nullptr && done != nullptr,
+                   [&](auto& x) { x.submit(std::string(json), wrapped(done, context)); });
+}
+
+int hs_get(hs_scheduler* s, const char* id, hs_done done, void* context) {
+    return guarded(s, id != nullptr && done != nullptr, [&](auto& x) { x.get(id, wrapped(done, context)); });
+}
+
+int hs_cancel(hs_scheduler* s, const char* id, hs_done done, void* context) {
+    return guarded(s, id != nullptr && done != nullptr, [&](auto& x) { x.cancel(id, wrapped(done, context)); });
+}
+
+int hs_subscribe(hs_scheduler* s, hs_change change, void* context) {
+    return guarded(s, change != nullptr, [&](auto& x) {
+        x.subscribe([change, context](const heronshift::Change& c) {
+            change(c.id.c_str(), c.state.c_str(), c.gap ? 1 : 0, context);
+        });
+    });
+}
+
+int hs_acts(const hs_scheduler* s) {
+    return known(s) && s->scheduler.acts() ? 1 : 0;
+}
+
+int hs_end(hs_scheduler* s) {
+    {
+        const std::lock_guard l(lock);
+        if (s == nullptr || alive().erase(s) == 0) return HS_INVALID;
+    }
+    delete s;
+    return HS_OK;
+}
+
+const char* hs_version(void) {
+    return heronshift::version;
+}
+}
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -3,12 +3,17 @@
 #include "heronshift/embed/scheduler.hpp"
 
 #include "heronshift/codec.hpp"
+#include "heronshift/embed/heronshift.h"
 #include "heronshift/local/cloud.hpp"
 
 #include <atomic>
+#include <csignal>
 #include <fmt/format.h>
 #include <future>
 #include <gtest/gtest.h>
+#include <random>
+#include <spdlog/spdlog.h>
+#include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 
@@ -236,5 +241,118 @@
     EXPECT_TRUE(history.broken().empty());
 }
 
+// The embedding program is killed at any moment: before a job is stored, between a placement and its
+// launch, between a report and the final state. What it had answered stays true, nothing runs twice,
+// nothing is lost.
+TEST_F(Embedded, TheProgramIsKilledAgainAndAgain) {
+    // A long run, out of CI: HERONSHIFT_KILLS=300.
+    const char* many = std::getenv("HERONSHIFT_KILLS");
+    const int kills = many != nullptr ? std::atoi(many) : 16, jobs = 40 + 2 * (kills - 16);
+    std::mt19937 rng(20261201);
+    auto o = options();
+    {
+        HttpServer probe(&loop, 1, 1, [](HttpRequest&&, const Responder&) {}); // a port that is free
+        ASSERT_EQ(probe.listen({"127.0.0.1", 0}), 0);
+        o.settings.listen.port = probe.port();
+    }
+    const auto address = o.settings.listen.str();
+    platform->report_to({{"copy", address}});
+    pid_t child = -1;
+    auto start = [&] {
+        child = fork();
+        if (child != 0) return;
+        close_range(3, ~0U, 0); // the parent's sockets
+        spdlog::set_level(spdlog::level::off);
+        try {
+            const Scheduler s(o);
+            for (;;) pause();
+        } catch (...) {
+            _exit(1);
+        }
+    };
+    auto stop = [&] {
+        kill(child, SIGKILL);
+        int status = 0;
+        waitpid(child, &status, 0);
+        EXPECT_TRUE(WIFSIGNALED(status)); // it had not ended by itself
+    };
+    auto users = std::make_unique<HttpClient>(&loop, 8, 64);
+    struct User {
+        JobSpec spec;
+        bool accepted = false, asking = false;
+        std::string state;
+        double next = 0;
+    };
+    std::vector<User> list;
+    for (int n = 1; n <= jobs; ++n) {
+        User u;
+        u.spec = job(n, 1 + static_cast<std::uint32_t>(rng() % 4));
+        if (n % 5 == 0) {
+            u.spec.shape = Shape::gang;
+            u.spec.tasks = 2;
+        }
+        if (n % 7 == 0) u.spec.needs = {job(n - 1).id};
+        want(u.spec);
+        list.push_back(std::move(u));
+    }
+    auto serve = [&] {
+        const double t = platform->now();
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            auto& u = list[i];
+            if (u.asking || u.state == "done" || t < u.next || (i > 0 && !list[i - 1].accepted)) continue;
+            u.asking = true;
+            const auto path = std::string(codec::path_jobs) + (u.accepted ? "/" + u.spec.id : "");
+            users->request(address, u.accepted ? "GET" : "POST", path, u.accepted ? "" : codec::to_body(u.spec), 1,
+                           [&, i](HttpReply&& r) {
+                               auto& x = list[i];
+                               x.asking = false;
+                               x.next = platform->now() + 0.1;
+                               const auto a = codec::job_answer_of(r.body);
+                               if (r.status != 0)
+                                   history.told(x.spec.id, r.status, a ? a->status : "", platform->now());
+                               if ((r.status != 200 && r.status != 201) || !a) return;
+                               x.accepted = true;
+                               x.state = a->status;
+                           });
+        }
+        users->sweep();
+        return std::all_of(list.begin(), list.end(), [](const User& u) { return u.state == "done"; });
+    };
+    for (int k = 0; k < kills; ++k) {
+        start();
+        const double end = platform->now() + std::uniform_real_distribution<double>(0.05, 1.6)(rng);
+        until([&] { return serve(), platform->now() >= end; });
+        stop();
+    }
+    start();
+    EXPECT_TRUE(until(serve));
+    stop();
+    users.reset();
+    EXPECT_EQ(history.broken(), std::vector<std::string>{});
+    EXPECT_TRUE(history.unfinished().empty());
+}
+
+TEST_F(Embedded, ACallerInCGetsCodesNotCrashes) {
+    hs_scheduler* s = nullptr;
+    char why[100] = "x";
+    const hs_done done = [](const hs_reply*, void*) {};
+    EXPECT_EQ(hs_start(nullptr, nullptr, &s, why, sizeof why), HS_INVALID);
+    EXPECT_EQ(hs_start("x", nullptr, nullptr, nullptr, 0), HS_INVALID);
+    EXPECT_EQ(hs_start("/no/such.toml", nullptr, &s, why, sizeof why), HS_SETTINGS);
+    EXPECT_EQ(s, nullptr);
+    EXPECT_STREQ(why, "/no/such.toml: cannot be read");
+    EXPECT_EQ(hs_start("/no/such.toml", nullptr, &s, why, 4), HS_SETTINGS);
+    EXPECT_STREQ(why, "/no"); // cut, and ended
+    int elsewhere = 0;
+    auto* wrong = reinterpret_cast<hs_scheduler*>(&elsewhere);
+    for (auto* x : {static_cast<hs_scheduler*>(nullptr), wrong}) {
+        EXPECT_EQ(hs_submit(x, "{}", done, nullptr), HS_INVALID);
+        EXPECT_EQ(hs_get(x, "wk-1", done, nullptr), HS_INVALID);
+        EXPECT_EQ(hs_cancel(x, "wk-1", done, nullptr), HS_INVALID);
+        EXPECT_EQ(hs_acts(x), 0);
+        EXPECT_EQ(hs_end(x), HS_INVALID);
+    }
+}
+
 } // namespace
 } // namespace heronshift
