--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -1,4 +1,6 @@
 // The daemon: reads its settings and runs one controller until it is killed.
+#include "heronshift/cli/client.hpp"
+#include "heronshift/cli/schema.hpp"
 #include "heronshift/config.hpp"
 #include "heronshift/local/local.hpp"
 #include "heronshift/node.hpp"
@@ -11,7 +13,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -120,6 +124,23 @@
                      "stand-ins only: machines report to the scheduler of another program at this port")
         ->check(CLI::Range(1, 65535));
     local_verb->add_flag("--stay", local.stay, "go on serving after the load, until interrupted");
+    std::vector<std::string> nodes;
+    std::string job_file, job_id, schema_name;
+    const auto user_verb = [&](const char* name, const char* what) {
+        auto* v = app.add_subcommand(name, what);
+        v->add_option("--node", nodes, "address of a controller, host:port; several are tried in turn")
+            ->required()
+            ->envname("HERONSHIFT_NODE");
+        return v;
+    };
+    auto* submit_verb = user_verb("submit", "submit a job; an id that is known gets its state");
+    submit_verb->add_option("FILE", job_file, "the job as JSON, - for standard input")->required();
+    auto* get_verb = user_verb("get", "the state of a job");
+    auto* cancel_verb = user_verb("cancel", "cancel a job and all that wait for it");
+    auto* watch_verb = user_verb("watch", "a line at each change, until the job is over");
+    for (auto* v : {get_verb, cancel_verb, watch_verb}) v->add_option("ID", job_id, "such as wk-000412")->required();
+    auto* schema_verb = app.add_subcommand("schema", "print a JSON Schema");
+    schema_verb->add_option("NAME", schema_name, "submission")->required()->check(CLI::IsMember({"submission"}));
     app.add_option("--state-file", state_file, "keep state in this file (SQLite) instead of the state service");
     auto* backup_verb = app.add_subcommand("backup", "copy a state file, also while it is in use");
     backup_verb->add_option("FILE", backup_from, "the state file")->required();
@@ -127,7 +148,43 @@
     auto* replay_verb = app.add_subcommand("replay", "run a command log again and name the first difference");
     replay_verb->add_option("FILE", replay_file, "a command log")->required();
     replay_verb->add_flag("--allow-cut", allow_cut, "accept a log whose writer was killed");
-    CLI11_PARSE(app, argc, argv);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        if (e.get_exit_code() == 0) return app.exit(e); // help and version
+        std::cerr << "heronshift: " << e.what() << "\n";
+        return 2;
+    }
+    if (schema_verb->parsed()) {
+        std::cout << heronshift::cli::submission_schema;
+        return 0;
+    }
+    if (submit_verb->parsed()) {
+        std::string job;
+        std::ifstream file;
+        if (job_file != "-") file.open(job_file, std::ios::binary);
+        std::istream& in = job_file == "-" ? std::cin : file;
+        job.assign(std::istreambuf_iterator<char>(in), {});
+        if (!in && !in.eof()) {
+            std::cerr << "heronshift: " << job_file << ": cannot be read\n";
+            return 2;
+        }
+        if (const auto why = heronshift::cli::violation(heronshift::cli::submission_schema, job); !why.empty()) {
+            std::cerr << "heronshift: " << job_file << ": " << why << "\n";
+            return 2;
+        }
+        return heronshift::cli::submit(nodes, job);
+    }
+    for (const auto& [verb, run_verb] :
+         {std::pair{get_verb, &heronshift::cli::get}, std::pair{cancel_verb, &heronshift::cli::cancel},
+          std::pair{watch_verb, &heronshift::cli::watch}}) {
+        if (!verb->parsed()) continue;
+        if (!heronshift::codec::valid_job_id(job_id)) {
+            std::cerr << "heronshift: ID: must have the form wk-000412\n";
+            return 2;
+        }
+        return run_verb(nodes, job_id);
+    }
     if (local_verb->parsed()) return heronshift::local::run_local(local);
     if (backup_verb->parsed()) {
         try {
--- /dev/null
+++ b/src/cli/client.cpp
@@ -0,0 +1,114 @@
+#include "heronshift/cli/client.hpp"
+
+#include "heronshift/codec.hpp"
+#include "heronshift/http.hpp"
+
+#include <iostream>
+#include <optional>
+#include <unistd.h>
+
+namespace heronshift::cli {
+namespace {
+
+// The protocol's: a submission is tried for 60 s, waits 5 s for each answer and 1 s between two.
+constexpr double patience_s = 60, answer_s = 5, pause_s = 1, poll_s = 2;
+
+class Client {
+public:
+    explicit Client(std::vector<std::string> nodes) : nodes_(std::move(nodes)), http_(&loop_.loop, 1, 4) {}
+
+    // The first answer that is not "not now", or none.
+    std::optional<HttpReply> ask(const char* method, const std::string& path, const std::string& body) {
+        const double end = now() + patience_s;
+        do {
+            std::optional<HttpReply> got;
+            http_.request(nodes_[next_++ % nodes_.size()], method, path, body, answer_s,
+                          [&](HttpReply&& r) { got = std::move(r); });
+            while (!got) {
+                uv_run(&loop_.loop, UV_RUN_NOWAIT);
+                http_.sweep();
+                usleep(2000);
+            }
+            const int s = got->status;
+            if (s != 0 && s != 429 && s != 503 && s != 504) return got;
+            last_ = s == 0 ? "no answer" : std::to_string(s);
+            pause(pause_s);
+        } while (now() < end);
+        return {};
+    }
+    int print(const std::optional<HttpReply>& r) const {
+        if (!r) {
+            std::cerr << "heronshift: not in " << patience_s << " s; the last answer: " << last_ << "\n";
+            return 3;
+        }
+        const bool good = r->status == 200 || r->status == 201;
+        (good ? std::cout : std::cerr) << r->body << "\n";
+        return good ? 0 : 1;
+    }
+    void pause(double s) {
+        const double end = now() + s;
+        while (now() < end) {
+            uv_run(&loop_.loop, UV_RUN_NOWAIT);
+            usleep(10'000);
+        }
+    }
+
+private:
+    struct Loop {
+        uv_loop_t loop{};
+        Loop() {
+            uv_loop_init(&loop);
+        }
+        ~Loop() {
+            uv_run(&loop, UV_RUN_DEFAULT);
+            uv_loop_close(&loop);
+        }
+        Loop(const Loop&) = delete;
+        Loop& operator=(const Loop&) = delete;
+    };
+    static double now() {
+        return static_cast<double>(uv_hrtime()) * 1e-9;
+    }
+    std::vector<std::string> nodes_;
+    std::size_t next_ = 0;
+    std::string last_;
+    Loop loop_;
+    HttpClient http_;
+};
+
+std::string path_of(const std::string& id) {
+    return std::string(codec::path_jobs) + "/" + id;
+}
+
+} // namespace
+
+int submit(const std::vector<std::string>& nodes, const std::string& job) {
+    Client c(nodes);
+    return c.print(c.ask("POST", std::string(codec::path_jobs), job));
+}
+
+int get(const std::vector<std::string>& nodes, const std::string& id) {
+    Client c(nodes);
+    return c.print(c.ask("GET", path_of(id), ""));
+}
+
+int cancel(const std::vector<std::string>& nodes, const std::string& id) {
+    Client c(nodes);
+    return c.print(c.ask("POST", path_of(id) + "/" + std::string(codec::suffix_cancel), "{}"));
+}
+
+int watch(const std::vector<std::string>& nodes, const std::string& id) {
+    Client c(nodes);
+    std::string last;
+    for (;; c.pause(poll_s)) {
+        const auto r = c.ask("GET", path_of(id), "");
+        const auto a = r && r->status == 200 ? codec::job_answer_of(r->body) : std::nullopt;
+        if (!a) return c.print(r);
+        if (r->body != last) std::cout << r->body << std::endl; // seen at once, also through a pipe
+        last = r->body;
+        if (a->status == codec::status_done) return 0;
+        if (a->status == codec::status_cancelled) return 1;
+    }
+}
+
+} // namespace heronshift::cli
