One timer for stand-ins, one file store for daemon and library, less that says it twice

The platform, the stand-in store and 'heronshift local' each opened and closed a timer by hand: LoopTimer. The daemon and Scheduler built the same store on a file: file_store. What follows a stored final state stood twice in Records::committed. Gone: a store's name and a setter of limits that nobody used. Behaviour stays.

--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -42,11 +42,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     auto* loop = uv_default_loop();
     std::unique_ptr<store::StateStore> state;
-    if (!state_file.empty()) {
-        const store::Limits limits{0, 0, s.txn_ops, s.value_kb};
-        state = std::make_unique<store::LocalStore>(
-            loop, std::make_unique<store::Engine>(store::file_data(state_file), limits), state_file);
-    }
+    if (!state_file.empty()) state = store::file_store(loop, state_file, s.txn_ops, s.value_kb);
     heronshift::Node node(loop, std::move(s), std::move(state));
     if (log) node.record(std::move(log));
     if (const int e = node.start(); e != 0) {
--- a/include/heronshift/ledger/ledger.hpp
+++ b/include/heronshift/ledger/ledger.hpp
@@ -112,10 +112,8 @@
     void step_down() {
         stepped_down_ = true;
     }
-    bool take_dirty() { // something changed that placement may want to see
-        const bool d = dirty_;
+    void settled() { // placement has seen what changed
         dirty_ = false;
-        return d;
     }
     [[nodiscard]] bool dirty() const {
         return dirty_;
--- a/include/heronshift/local/cloud.hpp
+++ b/include/heronshift/local/cloud.hpp
@@ -5,6 +5,7 @@
 
 #include "heronshift/http.hpp"
 #include "heronshift/local/history.hpp"
+#include "heronshift/loop_timer.hpp"
 
 #include <functional>
 #include <map>
@@ -79,7 +80,6 @@
 class Platform {
 public:
     Platform(uv_loop_t* loop, PlatformPlan plan, History& history);
-    ~Platform();
     Platform(const Platform&) = delete;
     Platform& operator=(const Platform&) = delete;
     int start(const Endpoint& cloud_at); // 0 or a libuv error
@@ -128,12 +128,12 @@
     std::mt19937 rng_;
     HttpServer server_;
     HttpClient client_;
-    uv_timer_t* timer_ = nullptr;
     std::map<std::string, std::unique_ptr<StandInWorker>> machines_;
     std::vector<std::unique_ptr<StandInWorker>> gone_; // their servers close after the callbacks at hand
     std::map<std::string, std::vector<std::string>> claims_;
     std::map<std::string, JobSpec> jobs_;
     std::uint64_t ticks_ = 0, named_ = 0, returned_ = 0;
+    LoopTimer timer_;
 };
 
 } // namespace heronshift::local
--- a/include/heronshift/store/engine.hpp
+++ b/include/heronshift/store/engine.hpp
@@ -78,9 +78,6 @@
 public:
     Engine(std::unique_ptr<Data> data, Limits limits);
 
-    void set_limits(const Limits& l) {
-        limits_ = l;
-    }
     Data& data() {
         return *data_;
     }
--- a/include/heronshift/store/local.hpp
+++ b/include/heronshift/store/local.hpp
@@ -13,7 +13,7 @@
 class LocalStore final : public StateStore {
 public:
     // The loop must run, or be run once more, after the store is destroyed: a handle closes there.
-    LocalStore(uv_loop_t* loop, std::unique_ptr<Engine> engine, std::string name, double poll_s = 0.02);
+    LocalStore(uv_loop_t* loop, std::unique_ptr<Engine> engine, double poll_s = 0.02);
     ~LocalStore() override;
 
     void get(const std::string& key, double timeout_s, Callback done) override;
@@ -25,9 +25,6 @@
     void end_hold(std::uint64_t hold, double timeout_s, Callback done) override;
     void follow(const std::string& under, std::uint64_t since, double block_s, Callback done) override;
     void sweep() override;
-    [[nodiscard]] std::string name() const override {
-        return name_;
-    }
 
 private:
     struct Shared;
@@ -38,11 +35,13 @@
         Callback done;
         double deadline = 0;
     };
-    std::string name_;
     std::map<std::uint64_t, Open> open_;
     std::uint64_t last_ = 0;
     std::shared_ptr<Shared> shared_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+// One on a file of this machine, see file_data.hpp. Throws StoreError.
+std::unique_ptr<StateStore> file_store(uv_loop_t* loop, const std::string& path, int txn_ops, double value_kb);
+
 } // namespace heronshift::store
--- a/include/heronshift/store/remote.hpp
+++ b/include/heronshift/store/remote.hpp
@@ -22,9 +22,6 @@
         calls_.sweep();
         follows_.sweep();
     }
-    [[nodiscard]] std::string name() const override {
-        return at_;
-    }
 
 private:
     void request(const char* method, const std::string& path, std::string body, double timeout_s,
--- a/include/heronshift/store/server.hpp
+++ b/include/heronshift/store/server.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "heronshift/http.hpp"
+#include "heronshift/loop_timer.hpp"
 #include "heronshift/store/engine.hpp"
 
 namespace heronshift::store {
@@ -11,7 +12,6 @@
 public:
     enum class Mood : std::uint8_t { well, out, silent };
     StoreServer(uv_loop_t* loop, std::unique_ptr<Engine> engine);
-    ~StoreServer();
     StoreServer(const StoreServer&) = delete;
     StoreServer& operator=(const StoreServer&) = delete;
 
@@ -41,11 +41,11 @@
     uv_loop_t* loop_;
     std::unique_ptr<Engine> engine_;
     HttpServer server_;
-    uv_timer_t* timer_ = nullptr;
     std::vector<Follow> follows_;
     std::vector<Responder> unanswered_;
     Mood mood_ = Mood::well;
     std::uint64_t requests_ = 0, polls_ = 0, seen_ = 0;
+    LoopTimer timer_;
 };
 
 } // namespace heronshift::store
--- a/include/heronshift/store/store.hpp
+++ b/include/heronshift/store/store.hpp
@@ -51,7 +51,6 @@
     // Answers once a key under the prefix has changed after `since`, or with no items after block_s.
     virtual void follow(const std::string& under, std::uint64_t since, double block_s, Callback done) = 0;
     virtual void sweep() {} // times requests out; call about ten times a second
-    [[nodiscard]] virtual std::string name() const = 0;
 };
 
 } // namespace heronshift::store
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -4,6 +4,11 @@
 #include <fmt/format.h>
 
 namespace heronshift {
+namespace {
+
+template <class... F> struct Each : F... { using F::operator()...; };
+
+} // namespace
 
 Core::Core(const Settings& settings, std::uint64_t term, const Snapshot& stored, double now, double wall)
     : s_(settings), ledger_(settings, term, now, wall, effects_), records_(ledger_, settings, stored, wall, effects_),
@@ -11,40 +16,19 @@
       next_round_(now + settings.ops.round_s) {}
 
 void Core::take(Command& command) {
-    struct Taker {
-        Core& core;
-        void operator()(JobStored& c) const {
-            core.ledger_.add_job(c);
-        }
-        void operator()(JobFound& c) const {
-            core.ledger_.found(c);
-        }
-        void operator()(CancelAsked& c) const {
-            core.ledger_.cancel(c);
-        }
-        void operator()(Beat& c) const {
-            core.ledger_.heard(c);
-        }
-        void operator()(OrdersAnswered& c) const {
-            core.ledger_.answered(c);
-        }
-        void operator()(Committed& c) const {
-            core.records_.committed(c);
-        }
-        void operator()(Rented& c) const {
-            core.ledger_.rented(c);
-        }
-        void operator()(Released& c) const {
-            core.ledger_.released(c);
-        }
-        void operator()(Listed& c) const {
-            core.ledger_.listed(c);
-        }
-        void operator()(TypesKnown& c) const {
-            core.ledger_.types_known(std::move(c.types));
-        }
-    };
-    std::visit(Taker{*this}, command);
+    std::visit(Each{
+                   [this](JobStored& c) { ledger_.add_job(c); },
+                   [this](JobFound& c) { ledger_.found(c); },
+                   [this](CancelAsked& c) { ledger_.cancel(c); },
+                   [this](Beat& c) { ledger_.heard(c); },
+                   [this](OrdersAnswered& c) { ledger_.answered(c); },
+                   [this](Committed& c) { records_.committed(c); },
+                   [this](Rented& c) { ledger_.rented(c); },
+                   [this](Released& c) { ledger_.released(c); },
+                   [this](Listed& c) { ledger_.listed(c); },
+                   [this](TypesKnown& c) { ledger_.types_known(std::move(c.types)); },
+               },
+               command);
 }
 
 std::vector<Effect> Core::step(std::vector<Command>& commands, double now, double wall, bool entitled) {
@@ -73,7 +57,7 @@
     }
     // A pass over what waits costs time: events gather for a moment first.
     if (ledger_.dirty() && now >= next_schedule_) {
-        ledger_.take_dirty();
+        ledger_.settled();
         next_schedule_ = now + s_.report_s / 60;
         ledger_.next_pass();
         placement_.schedule();
--- a/src/embed/scheduler.cpp
+++ b/src/embed/scheduler.cpp
@@ -2,7 +2,6 @@
 
 #include "heronshift/codec.hpp"
 #include "heronshift/node.hpp"
-#include "heronshift/store/file_data.hpp"
 #include "heronshift/store/local.hpp"
 
 #include <atomic>
@@ -26,9 +25,7 @@
         if (o_.state) {
             state = o_.state(loop_);
         } else if (!o_.state_file.empty()) {
-            const store::Limits limits{0, 0, o_.settings.txn_ops, o_.settings.value_kb};
-            auto engine = std::make_unique<store::Engine>(store::file_data(o_.state_file), limits);
-            state = std::make_unique<store::LocalStore>(loop_, std::move(engine), o_.state_file);
+            state = store::file_store(loop_, o_.state_file, o_.settings.txn_ops, o_.settings.value_kb);
         }
         node_ = std::make_unique<Node>(loop_, o_.settings, std::move(state));
         if (const int e = node_->start(); e != 0) {
--- a/src/local/cloud.cpp
+++ b/src/local/cloud.cpp
@@ -238,23 +238,9 @@
       server_(loop, 64, 600, [this](HttpRequest&& r, Responder res) { handle(std::move(r), res); }),
       client_(loop, 128, 4096) {}
 
-Platform::~Platform() {
-    if (timer_ == nullptr) return;
-    timer_->data = nullptr;
-    uv_close(reinterpret_cast<uv_handle_t*>(timer_), [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
-}
-
 int Platform::start(const Endpoint& cloud_at) {
     if (const int e = server_.listen(cloud_at); e != 0) return e;
-    timer_ = new uv_timer_t;
-    uv_timer_init(loop_, timer_);
-    timer_->data = this;
-    return uv_timer_start(
-        timer_,
-        [](uv_timer_t* t) {
-            if (t->data != nullptr) static_cast<Platform*>(t->data)->tick();
-        },
-        tick_ms, tick_ms);
+    return timer_.start(loop_, tick_ms, [this] { tick(); });
 }
 
 void Platform::tick() {
--- a/src/local/local.cpp
+++ b/src/local/local.cpp
@@ -92,9 +92,7 @@
         platform_.reset();
         store_.reset();
         users_.reset();
-        if (tick_ != nullptr)
-            uv_close(reinterpret_cast<uv_handle_t*>(tick_),
-                     [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+        tick_.reset();
         if (interrupt_ != nullptr)
             uv_close(reinterpret_cast<uv_handle_t*>(interrupt_),
                      [](uv_handle_t* h) { delete reinterpret_cast<uv_signal_t*>(h); });
@@ -195,11 +193,8 @@
         } else {
             plan_load();
         }
-        tick_ = new uv_timer_t;
-        uv_timer_init(&loop_, tick_);
-        tick_->data = this;
-        uv_timer_start(
-            tick_, [](uv_timer_t* t) { static_cast<Local*>(t->data)->tick(); }, 50, 50);
+        tick_ = std::make_unique<LoopTimer>();
+        tick_->start(&loop_, 50, [this] { tick(); });
         interrupt_ = new uv_signal_t;
         uv_signal_init(&loop_, interrupt_);
         interrupt_->data = this;
@@ -500,7 +495,7 @@
     std::vector<Controller> nodes_;
     Port spare_; // for the peers of a program that has none
     std::vector<User> users_wanted_;
-    uv_timer_t* tick_ = nullptr;
+    std::unique_ptr<LoopTimer> tick_;
     uv_signal_t* interrupt_ = nullptr;
     int ended_ = 0;
 };
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -398,8 +398,7 @@
 }
 
 void Node::on_user(HttpRequest&& r, Responder res) {
-    ++requests_;
-    serve(std::move(r), std::move(res), false);
+    call(std::move(r), std::move(res));
 }
 
 void Node::on_peer(HttpRequest&& r, Responder res) {
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -608,9 +608,11 @@
         note(2, fmt::format("the store takes no such transaction, from now on {} bytes a record and {} changes",
                             most_value_, most_ops_));
     }
-    auto answer = [&](Job& j) {
+    auto stored = [&](Job& j) {
+        j.final_stored = true;
         for (const auto h : j.cancels) out_.push_back(CancelAnswer{h, word_of(j.final == Final::done)});
         j.cancels.clear();
+        l_.need_settled(j.spec.id, j.final);
     };
     auto again = [&](Job& j) { final_due(j, Urgency::done); };
     for (auto& [j, final] : f.finals) {
@@ -618,9 +620,7 @@
             again(*j);
             continue;
         }
-        j->final_stored = true;
-        answer(*j);
-        l_.need_settled(j->spec.id, j->final);
+        stored(*j);
         if (j->live == 0) again(*j);
     }
     if (!ok)
@@ -661,9 +661,7 @@
             again(*j);
             continue;
         }
-        j->final_stored = true;
-        answer(*j);
-        l_.need_settled(j->spec.id, j->final);
+        stored(*j);
         drop_job(*j);
     }
 }
--- a/src/store/local.cpp
+++ b/src/store/local.cpp
@@ -1,5 +1,7 @@
 #include "heronshift/store/local.hpp"
 
+#include "heronshift/store/file_data.hpp"
+
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -130,8 +132,8 @@
     }
 };
 
-LocalStore::LocalStore(uv_loop_t* loop, std::unique_ptr<Engine> engine, std::string name, double poll_s)
-    : name_(std::move(name)), shared_(std::make_shared<Shared>()) {
+LocalStore::LocalStore(uv_loop_t* loop, std::unique_ptr<Engine> engine, double poll_s)
+    : shared_(std::make_shared<Shared>()) {
     shared_->engine = std::move(engine);
     shared_->poll_s = poll_s;
     shared_->async = new uv_async_t;
@@ -254,4 +256,9 @@
     submit(std::move(c), block_s + 2, std::move(done));
 }
 
+std::unique_ptr<StateStore> file_store(uv_loop_t* loop, const std::string& path, int txn_ops, double value_kb) {
+    return std::make_unique<LocalStore>(loop,
+                                        std::make_unique<Engine>(file_data(path), Limits{0, 0, txn_ops, value_kb}));
+}
+
 } // namespace heronshift::store
--- a/src/store/server.cpp
+++ b/src/store/server.cpp
@@ -42,27 +42,13 @@
     : loop_(loop), engine_(std::move(engine)),
       server_(loop, 10'000, 600, [this](HttpRequest&& r, Responder res) { handle(std::move(r), res); }) {}
 
-StoreServer::~StoreServer() {
-    if (timer_ == nullptr) return;
-    timer_->data = nullptr;
-    uv_close(reinterpret_cast<uv_handle_t*>(timer_), [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
-}
-
 std::int64_t StoreServer::now_ms() const {
     return static_cast<std::int64_t>(uv_hrtime() / 1'000'000);
 }
 
 int StoreServer::start(const Endpoint& at) {
     if (const int e = server_.listen(at); e != 0) return e;
-    timer_ = new uv_timer_t;
-    uv_timer_init(loop_, timer_);
-    timer_->data = this;
-    return uv_timer_start(
-        timer_,
-        [](uv_timer_t* t) {
-            if (t->data != nullptr) static_cast<StoreServer*>(t->data)->poll();
-        },
-        poll_ms, poll_ms);
+    return timer_.start(loop_, poll_ms, [this] { poll(); });
 }
 
 void StoreServer::set_mood(Mood m) {
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -104,7 +104,7 @@
         path = file_name();
         remove_file(path);
         auto data = kind == Kind::file ? file_data(path) : memory_data();
-        store = std::make_unique<LocalStore>(&loop.loop, std::make_unique<Engine>(std::move(data), limits), "local");
+        store = std::make_unique<LocalStore>(&loop.loop, std::make_unique<Engine>(std::move(data), limits));
     }
     ~Rig() {
         store.reset();
@@ -277,7 +277,7 @@
 // --- files
 
 std::unique_ptr<StateStore> open_file(Loop& l, const std::string& path) {
-    return std::make_unique<LocalStore>(&l.loop, std::make_unique<Engine>(file_data(path), Limits{}), path);
+    return std::make_unique<LocalStore>(&l.loop, std::make_unique<Engine>(file_data(path), Limits{}));
 }
 
 std::string why_not(const std::string& path) {
