--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -41,9 +41,9 @@
 int run(heronshift::Settings s, std::unique_ptr<heronshift::replay::CommandLog> log, const std::string& state_file) {
     std::signal(SIGPIPE, SIG_IGN);
     auto* loop = uv_default_loop();
-    std::unique_ptr<store::StateStore> state;
-    if (!state_file.empty()) state = store::file_store(loop, state_file, s.txn_ops, s.value_kb);
-    heronshift::Node node(loop, std::move(s), std::move(state));
+    heronshift::Node::Parts parts;
+    if (!state_file.empty()) parts.state = store::file_store(loop, state_file, s.txn_ops, s.value_kb);
+    heronshift::Node node(loop, std::move(s), std::move(parts));
     if (log) node.record(std::move(log));
     if (const int e = node.start(); e != 0) {
         spdlog::error("cannot listen: {}", uv_strerror(e));
@@ -97,7 +97,7 @@
     auto* check = app.add_subcommand("check", "validate the settings and print what is in force");
     check->fallthrough();
     std::string command_log, replay_file, state_file, backup_from, backup_to;
-    double command_log_mb = 1024;
+    double command_log_mb = static_cast<double>(heronshift::replay::usual_size) / 1e6;
     bool allow_cut = false;
     app.add_option("--command-log", command_log,
                    "record what goes into the core and a digest of what comes out; .zst: compressed; -: stderr");
--- a/include/heronshift/embed/scheduler.hpp
+++ b/include/heronshift/embed/scheduler.hpp
@@ -3,10 +3,12 @@
 //
 // Nothing here ends the process, sets signal handlers or keeps global state; log lines go to spdlog's
 // default logger, which the program may replace. Errors are values (Reply); constructors throw
-// SettingsError, store::StoreError or std::system_error (cannot listen).
+// SettingsError, store::StoreError, replay::LogError or std::system_error (cannot listen).
 #pragma once
 
+#include "heronshift/clock.hpp"
 #include "heronshift/config.hpp"
+#include "heronshift/executor/executor.hpp"
 #include "heronshift/store/store.hpp"
 #include "heronshift/types.hpp"
 
@@ -43,6 +45,11 @@
     std::string state_file; // a durable file of this machine; empty: the state service of the settings
     // Another store, made on the scheduler's loop; if set, the two above do not count.
     std::function<std::unique_ptr<store::StateStore>(uv_loop_t*)> state;
+    // What runs tasks, made on the scheduler's loop; if not set: the platform's agents and cloud. With one
+    // that reports by itself no port is needed: leave the hosts to listen at empty.
+    std::function<std::unique_ptr<Executor>(uv_loop_t*)> executor;
+    std::shared_ptr<const Clock> clock; // none: the system's
+    std::string command_log;            // a file that records what is decided, for `heronshift replay`; empty: none
 };
 
 class Scheduler {
@@ -72,9 +79,12 @@
     // Gives the office up and answers nothing more; open calls get status 0. May be called twice.
     void stop();
 
+    // For a clock whose time the program moves: does what has become due. On the loop's thread only.
+    void turn();
+
     // Whether this copy acts at this moment; another may share its store.
     [[nodiscard]] bool acts() const;
-    [[nodiscard]] int port() const; // for workers' reports
+    [[nodiscard]] int port() const; // for workers' reports; 0: it does not listen
 
 private:
     class Inner;
--- a/include/heronshift/local/cloud.hpp
+++ b/include/heronshift/local/cloud.hpp
@@ -1,8 +1,10 @@
-// Stand-ins of the cloud and of its machines on loopback, which speak the protocol: the cloud rents
-// and takes back, each machine is a worker with an address of its own that reports to the controllers
-// and pretends to run tasks.
+// Stand-ins of the cloud and of its machines: the cloud rents and takes back, each machine is a worker
+// that reports to the controllers and pretends to run tasks. On loopback they speak the protocol, each
+// worker with an address of its own; to a scheduler in the same process they are an executor.
 #pragma once
 
+#include "heronshift/clock.hpp"
+#include "heronshift/executor/executor.hpp"
 #include "heronshift/http.hpp"
 #include "heronshift/local/history.hpp"
 #include "heronshift/loop_timer.hpp"
@@ -27,6 +29,10 @@
     int capacity = 12;    // machines of a type, zone and kind at once
     double run_share = 1; // of expectedS that a task takes, give or take a third
     unsigned seed = 1;
+    // Lockstep: time is the clock's, nothing happens but in turn(), and nothing on the way to a controller
+    // is left to chance, so that two runs can be compared.
+    std::shared_ptr<const Clock> clock; // none: the system's
+    bool lockstep = false;
 };
 
 class Platform;
@@ -38,6 +44,9 @@
     int start();
     void tick(double now);
     void lose_all(); // the machine is gone
+    // Status 200 or 409 with a report; 0: silence, the caller gives up.
+    std::pair<int, std::optional<Report>> obey(std::uint64_t fence, std::uint64_t tenure,
+                                               const std::vector<Order>& list);
 
     [[nodiscard]] ListedMachine listed(double now) const;
     [[nodiscard]] bool up(double now) const {
@@ -59,7 +68,7 @@
     void launch(const Order& o, double now);
     void end(Run& r, ExitCause cause, bool saved = false);
     void beat(double now);
-    void answered(const HttpReply& r, double sent, std::uint64_t tenure);
+    void answered(const ReportAnswer& a, double sent, std::uint64_t tenure);
     void next_node(double now);
     Report report();
 
@@ -83,6 +92,9 @@
     Platform(const Platform&) = delete;
     Platform& operator=(const Platform&) = delete;
     int start(const Endpoint& cloud_at); // 0 or a libuv error
+    // Instead of start(): for one scheduler in this process. Lives as long as the platform does.
+    std::unique_ptr<Executor> executor();
+    void turn(); // what is due; start() sees to it, but in lockstep
     [[nodiscard]] int port() const {
         return server_.port();
     }
@@ -105,16 +117,28 @@
     };
     [[nodiscard]] Sum sum() const;
     [[nodiscard]] double now() const {
-        return static_cast<double>(uv_hrtime()) * 1e-9;
+        return plan_.clock->now();
     }
+    // Of what has passed between machines, cloud and controllers; stands still when all is quiet.
+    [[nodiscard]] std::uint64_t messages() const {
+        return messages_;
+    }
+    // A launch as it reached its machine.
+    std::function<void(const Order&, const MachineType&, const std::string& zone, bool spot)> on_launch;
 
 private:
     friend class StandInWorker;
+    class Direct;
     void handle(HttpRequest&& r, const Responder& res);
-    void tick();
+    Rented rent(const Rent& ask);
+    void release(const std::vector<std::string>& machines);
+    codec::MachinePage page(const std::string& since);
+    void send(StandInWorker& w, Report r, std::function<void(const ReportAnswer&)> done);
     double between(double a, double b) {
         return std::uniform_real_distribution<double>(a, b)(rng_);
     }
+    // Drawn from what the attempt is called, so that it does not hang on the order of other draws.
+    [[nodiscard]] double run_s(const JobSpec& s, const ReportedTask& t) const;
     // The tasks of one attempt of a gang that are on machines.
     struct Mate {
         StandInWorker* on;
@@ -132,7 +156,9 @@
     std::vector<std::unique_ptr<StandInWorker>> gone_; // their servers close after the callbacks at hand
     std::map<std::string, std::vector<std::string>> claims_;
     std::map<std::string, JobSpec> jobs_;
-    std::uint64_t ticks_ = 0, named_ = 0, returned_ = 0;
+    std::uint64_t ticks_ = 0, named_ = 0, returned_ = 0, messages_ = 0;
+    Executor::Reports reports_; // of a scheduler in this process
+    bool direct_ = false;
     LoopTimer timer_;
 };
 
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -1,7 +1,9 @@
 // One controller: the loop, its servers and clients, and the queue of commands for the core.
 #pragma once
 
+#include "heronshift/clock.hpp"
 #include "heronshift/core/core.hpp"
+#include "heronshift/executor/executor.hpp"
 #include "heronshift/http.hpp"
 #include "heronshift/replay/command_log.hpp"
 #include "heronshift/store/store.hpp"
@@ -29,8 +31,15 @@
 
 class Node {
 public:
-    // No store: the state service that the settings name.
-    Node(uv_loop_t* loop, Settings settings, std::unique_ptr<store::StateStore> state = nullptr);
+    // What is left out is the daemon's: the state service and the cloud that the settings name, and the
+    // system's time.
+    struct Parts {
+        std::unique_ptr<store::StateStore> state;
+        std::unique_ptr<Executor> executor;
+        std::shared_ptr<const Clock> clock;
+    };
+    Node(uv_loop_t* loop, Settings settings, Parts parts);
+    Node(uv_loop_t* loop, Settings settings) : Node(loop, std::move(settings), Parts{}) {}
     ~Node();
     Node(const Node&) = delete;
     Node& operator=(const Node&) = delete;
@@ -39,8 +48,14 @@
     void record(std::unique_ptr<replay::CommandLog> log) {
         log_ = std::move(log);
     }
-    int start(); // 0 or a libuv error
+    // Listens, unless the settings name no host to listen at. 0 or a libuv error.
+    int start();
     void stop();
+    // All that is due by the clock: for one whose time does not pass by itself.
+    void turn() {
+        tick();
+        wake();
+    }
     // A user's request from inside this process, answered as one that came over the network.
     void call(HttpRequest&& r, Responder res) {
         ++requests_;
@@ -65,8 +80,12 @@
     using Json = codec::Json;
     enum class Office : std::uint8_t { standby, acquiring, loading, held };
 
-    [[nodiscard]] double now() const;
-    [[nodiscard]] double wall() const;
+    [[nodiscard]] double now() const {
+        return clock_->now();
+    }
+    [[nodiscard]] double wall() const {
+        return clock_->wall();
+    }
 
     // office.cpp: leadership
     void watch_office();
@@ -93,7 +112,8 @@
     void submit(HttpRequest&& r, Responder res, bool forwarded);
     void poll(const std::string& id, Responder res, bool forwarded);
     void cancel(const std::string& id, HttpRequest&& r, Responder res, bool forwarded);
-    void beat(HttpRequest&& r, Responder res);
+    void beat(const HttpRequest& r, Responder res);
+    void report(Report&& r, Executor::ReportDone done);
     void forward(HttpRequest&& r, Responder res, std::function<void(Responder)> otherwise);
     // Fresh reads: the final state if there is one, else whether the job was accepted.
     struct Found {
@@ -132,7 +152,8 @@
         store_->end_hold(hold, timeout_s, watched(std::move(done)));
     }
     void cloud_pump();
-    void cloud_request(const char* method, std::string path, std::string body, HttpClient::Callback done);
+    // ask(true) reaches the cloud when the budget allows; ask(false): it never will.
+    void cloud_request(std::function<void(bool)> ask);
     void list_machines(const std::string& since);
 
     void push(Command c) {
@@ -142,9 +163,11 @@
     void perform(Effect& e);
     void arm();
     void tick();
+    void wake();
 
     Settings s_;
     uv_loop_t* loop_;
+    std::shared_ptr<const Clock> clock_;
     // Outlives the node by a moment: libuv closes handles in a later turn of the loop.
     struct Handles {
         uv_timer_t tick{}, wake{};
@@ -154,7 +177,8 @@
     Handles* handles_ = nullptr;
     std::unique_ptr<HttpServer> users_, peers_;
     std::unique_ptr<store::StateStore> store_;
-    HttpClient cloud_, agents_, peer_client_;
+    std::unique_ptr<Executor> executor_;
+    HttpClient peer_client_;
     RateBudget store_budget_, submit_budget_, cloud_budget_;
 
     Office office_ = Office::standby;
@@ -179,11 +203,7 @@
     double next_types_ = 0, next_list_ = 0, types_at_ = -1e9;
     std::vector<ListedMachine> listing_;
     double listing_at_ = 0;
-    struct CloudCall {
-        std::string method, path, body;
-        HttpClient::Callback done;
-    };
-    std::deque<CloudCall> cloud_queue_;
+    std::deque<std::function<void(bool)>> cloud_queue_;
 
     std::uint64_t handle_seq_ = 0;
     struct Open {
@@ -191,7 +211,8 @@
         std::string id;
         double since = 0;
     };
-    std::map<std::uint64_t, Open> beats_, cancels_;
+    std::map<std::uint64_t, Open> cancels_;
+    std::map<std::uint64_t, Executor::ReportDone> beats_;
     std::size_t lookups_ = 0;
     std::unordered_set<std::string> accepted_;
     std::deque<std::string> accepted_order_;
--- a/include/heronshift/replay/command_log.hpp
+++ b/include/heronshift/replay/command_log.hpp
@@ -17,6 +17,7 @@
 namespace heronshift::replay {
 
 inline constexpr int log_version = 1;
+inline constexpr std::uint64_t usual_size = 1024'000'000; // bytes, before compression
 
 // Says which file, which line and what is wrong with it.
 struct LogError : std::runtime_error {
--- a/include/heronshift/store/server.hpp
+++ b/include/heronshift/store/server.hpp
@@ -24,6 +24,7 @@
     }
     // When an outage ends, all holds have their full time again.
     void set_mood(Mood m);
+    void poll(); // answers who waits for a change; start() sees to it
     [[nodiscard]] std::uint64_t requests() const {
         return requests_;
     }
@@ -37,7 +38,6 @@
     };
     [[nodiscard]] std::int64_t now_ms() const;
     void handle(HttpRequest&& r, const Responder& res);
-    void poll();
     uv_loop_t* loop_;
     std::unique_ptr<Engine> engine_;
     HttpServer server_;
--- a/include/heronshift/store/store.hpp
+++ b/include/heronshift/store/store.hpp
@@ -48,7 +48,7 @@
     virtual void hold(double ttl_s, double timeout_s, Callback done) = 0;
     virtual void extend(std::uint64_t hold, double timeout_s, Callback done) = 0;
     virtual void end_hold(std::uint64_t hold, double timeout_s, Callback done) = 0;
-    // Answers once a key under the prefix has changed after `since`, or with no items after block_s.
+    // Answers once a key under the prefix has changed after `since`, or with no items after block_s or sooner.
     virtual void follow(const std::string& under, std::uint64_t since, double block_s, Callback done) = 0;
     virtual void sweep() {} // times requests out; call about ten times a second
 };
--- a/src/embed/scheduler.cpp
+++ b/src/embed/scheduler.cpp
@@ -21,13 +21,17 @@
 
     // On the loop's thread. Throws what the constructors of Scheduler do.
     void start() {
-        std::unique_ptr<store::StateStore> state;
+        Node::Parts parts;
         if (o_.state) {
-            state = o_.state(loop_);
+            parts.state = o_.state(loop_);
         } else if (!o_.state_file.empty()) {
-            state = store::file_store(loop_, o_.state_file, o_.settings.txn_ops, o_.settings.value_kb);
+            parts.state = store::file_store(loop_, o_.state_file, o_.settings.txn_ops, o_.settings.value_kb);
         }
-        node_ = std::make_unique<Node>(loop_, o_.settings, std::move(state));
+        if (o_.executor) parts.executor = o_.executor(loop_);
+        parts.clock = o_.clock;
+        node_ = std::make_unique<Node>(loop_, o_.settings, std::move(parts));
+        if (!o_.command_log.empty())
+            node_->record(std::make_unique<replay::CommandLog>(o_.command_log, replay::usual_size));
         if (const int e = node_->start(); e != 0) {
             node_.reset();
             throw std::system_error(-e, std::generic_category(), "the scheduler cannot listen");
@@ -67,6 +71,10 @@
         });
     }
 
+    void turn() {
+        if (node_) node_->turn();
+    }
+
     // end: nothing more is called, and all is torn down in a turn of the loop's own.
     void finish(bool end) {
         if (end) silent_ = true;
@@ -243,6 +251,10 @@
     inner_->finish(false);
 }
 
+void Scheduler::turn() {
+    inner_->turn();
+}
+
 bool Scheduler::acts() const {
     return inner_->acts;
 }
--- a/src/local/cloud.cpp
+++ b/src/local/cloud.cpp
@@ -24,9 +24,13 @@
       server_(p.loop_, 64, 600, [this](HttpRequest&& r, Responder res) { handle(std::move(r), res); }) {}
 
 int StandInWorker::start() {
+    if (p_.direct_) {
+        addr_ = id_;
+        return 0;
+    }
     if (const int e = server_.listen({"127.0.0.1", 0}); e != 0) return e;
     addr_ = fmt::format("127.0.0.1:{}", server_.port());
-    if (!p_.plan_.workers.nodes.empty()) node_ = p_.rng_() % p_.plan_.workers.nodes.size();
+    if (!p_.plan_.workers.nodes.empty() && !p_.plan_.lockstep) node_ = p_.rng_() % p_.plan_.workers.nodes.size();
     return 0;
 }
 
@@ -65,6 +69,7 @@
     const auto& specs = p_.jobs_;
     Run r;
     r.t = {o.job, o.index, o.try_no, TaskState::fetching, ExitCause::none, false};
+    if (p_.on_launch) p_.on_launch(o, type_, zone_, spot_);
     const auto spec = specs.find(o.job);
     Resources used;
     bool here = false;
@@ -114,6 +119,18 @@
     }
 }
 
+std::pair<int, std::optional<Report>> StandInWorker::obey(std::uint64_t fence, std::uint64_t tenure,
+                                                          const std::vector<Order>& list) {
+    const double now = p_.now();
+    ++p_.messages_;
+    if (now < hung_until || now < cut_until || !up(now)) return {0, {}};
+    if (fence < fence_ || tenure != tenure_) return {409, report()};
+    changed_ = changed_ || fence > fence_;
+    fence_ = fence;
+    execute(list, now);
+    return {200, report()};
+}
+
 void StandInWorker::handle(HttpRequest&& r, const Responder& res) {
     const double now = p_.now();
     if (now < hung_until || now < cut_until || !up(now)) return; // silence: the caller gives up
@@ -121,11 +138,8 @@
     if (r.method != "POST" || r.path != codec::path_commands) return res.send(404, error_body("no such path"));
     const auto o = codec::read_orders(r.body);
     if (!o || !o->fence || !o->tenure) return res.send(400, error_body("fence and tenure are needed"));
-    if (*o->fence < fence_ || *o->tenure != tenure_) return res.send(409, codec::to_body(report()));
-    changed_ = changed_ || *o->fence > fence_;
-    fence_ = *o->fence;
-    execute(o->list, now);
-    res.send(200, codec::to_body(report()));
+    const auto [status, answer] = obey(*o->fence, *o->tenure, o->list);
+    res.send(status, codec::to_body(*answer));
 }
 
 void StandInWorker::next_node(double now) {
@@ -134,28 +148,26 @@
     next_beat_ = now + next_node_s;
 }
 
-void StandInWorker::answered(const HttpReply& r, double sent, std::uint64_t tenure) {
+void StandInWorker::answered(const ReportAnswer& a, double sent, std::uint64_t tenure) {
     in_flight_ = false;
     const double now = p_.now();
     if (now < cut_until || now < hung_until) return;
     const auto& nodes = p_.plan_.workers.nodes;
-    if (r.status == 421) {
-        const auto to = codec::redirected_to(r.body);
+    if (a.status == 421) {
         for (std::size_t i = 0; i < nodes.size(); ++i)
-            if (nodes[i].first == to && i != node_) {
+            if (nodes[i].first == a.holder && i != node_) {
                 node_ = i;
-                next_beat_ = now + p_.between(0, 0.5);
+                next_beat_ = now + (p_.plan_.lockstep ? 0 : p_.between(0, 0.5));
                 return;
             }
         return next_node(now);
     }
-    if (r.status != 200) return next_node(now);
-    const auto o = codec::read_orders(r.body);
-    if (!o || !o->fence || *o->fence < fence_ || tenure != tenure_) return; // dropped; it stays with this node
-    changed_ = changed_ || *o->fence > fence_;
-    fence_ = *o->fence;
+    if (a.status != 200) return next_node(now);
+    if (a.fence < fence_ || tenure != tenure_) return; // dropped; it stays with this node
+    changed_ = changed_ || a.fence > fence_;
+    fence_ = a.fence;
     lease_from_ = std::max(lease_from_, sent);
-    execute(o->list, now);
+    execute(a.orders, now);
 }
 
 void StandInWorker::beat(double now) {
@@ -164,16 +176,34 @@
     const bool due =
         now >= next_beat_ || (changed_ && now >= last_beat_ + least_pause_s && next_beat_ - now < w.report_s);
     if (!due) return;
-    next_beat_ = now + w.report_s * p_.between(0.75, 1.25);
+    next_beat_ = now + w.report_s * (p_.plan_.lockstep ? 1 : p_.between(0.75, 1.25));
     last_beat_ = now;
     changed_ = false;
     if (now < cut_until) return;
     in_flight_ = true;
-    p_.client_.request(w.nodes[node_].second, "POST", std::string(codec::path_report), codec::to_body(report()),
-                       answer_s, [&p = p_, id = id_, now, tenure = tenure_](HttpReply&& r) {
-                           const auto it = p.machines_.find(id);
-                           if (it != p.machines_.end()) it->second->answered(r, now, tenure);
-                       });
+    p_.send(*this, report(), [&p = p_, id = id_, now, tenure = tenure_](const ReportAnswer& a) {
+        ++p.messages_;
+        const auto it = p.machines_.find(id);
+        if (it != p.machines_.end()) it->second->answered(a, now, tenure);
+    });
+}
+
+void Platform::send(StandInWorker& w, Report r, std::function<void(const ReportAnswer&)> done) {
+    ++messages_;
+    if (direct_) return reports_ ? reports_(std::move(r), std::move(done)) : done({});
+    client_.request(plan_.workers.nodes[w.node_].second, "POST", std::string(codec::path_report), codec::to_body(r),
+                    answer_s, [done = std::move(done)](HttpReply&& reply) {
+                        ReportAnswer a;
+                        auto o = reply.status == 200 ? codec::read_orders(reply.body) : std::nullopt;
+                        if (reply.status == 421) {
+                            a = {421, 0, {}, codec::redirected_to(reply.body)};
+                        } else if (reply.status == 200) {
+                            // Fence 0: one that cannot be read, older than any.
+                            a = {200, o && o->fence ? *o->fence : 0, {}, {}};
+                            if (a.fence > 0) a.orders = std::move(o->list);
+                        }
+                        done(a);
+                    });
 }
 
 void StandInWorker::tick(double now) {
@@ -198,7 +228,7 @@
             p_.history_.on_machine(r.t.job, r.t.index, {id_, type_.name, zone_, spot_}, now);
             r.counted = true;
             r.t.state = s.shape == Shape::gang && s.tasks > 1 ? TaskState::waiting : TaskState::running;
-            const double run = std::max(0.05, s.estimate_s * p_.plan_.run_share * p_.between(0.67, 1.33) / speed_);
+            const double run = p_.run_s(s, r.t) / speed_;
             r.until = now + (r.t.state == TaskState::waiting ? w.gang_wait_s : run);
             changed_ = true;
         } else if (r.t.state == TaskState::waiting) {
@@ -206,7 +236,7 @@
             const bool ready = all.size() == s.tasks && std::all_of(all.begin(), all.end(), [](const auto& x) {
                                    return x.run->t.state == TaskState::waiting;
                                });
-            const double run = std::max(0.05, s.estimate_s * p_.plan_.run_share * p_.between(0.67, 1.33));
+            const double run = p_.run_s(s, all.empty() ? r.t : all.front().run->t);
             for (const auto& x : all) {
                 if (!ready) break;
                 x.run->t.state = TaskState::running;
@@ -236,14 +266,76 @@
 Platform::Platform(uv_loop_t* loop, PlatformPlan plan, History& history)
     : loop_(loop), plan_(std::move(plan)), history_(history), rng_(plan_.seed),
       server_(loop, 64, 600, [this](HttpRequest&& r, Responder res) { handle(std::move(r), res); }),
-      client_(loop, 128, 4096) {}
+      client_(loop, 128, 4096) {
+    if (!plan_.clock) plan_.clock = std::make_shared<Clock>();
+}
 
 int Platform::start(const Endpoint& cloud_at) {
     if (const int e = server_.listen(cloud_at); e != 0) return e;
-    return timer_.start(loop_, tick_ms, [this] { tick(); });
+    return plan_.lockstep ? 0 : timer_.start(loop_, tick_ms, [this] { turn(); });
+}
+
+// The platform as an executor: what HTTP carries elsewhere, as calls. Answers come in a later turn of the
+// loop, as they do there.
+class Platform::Direct final : public Executor {
+public:
+    explicit Direct(Platform& p) : p_(p), async_(new uv_async_t) {
+        uv_async_init(p.loop_, async_, [](uv_async_t* a) {
+            if (a->data == nullptr) return;
+            for (auto list = std::exchange(static_cast<Direct*>(a->data)->answers_, {}); !list.empty();
+                 list.pop_front())
+                if (a->data != nullptr) list.front()();
+        });
+        async_->data = this;
+    }
+    ~Direct() override {
+        p_.reports_ = nullptr;
+        async_->data = nullptr;
+        uv_close(reinterpret_cast<uv_handle_t*>(async_),
+                 [](uv_handle_t* h) { delete reinterpret_cast<uv_async_t*>(h); });
+    }
+    void reports_to(Reports r) override {
+        p_.reports_ = std::move(r);
+    }
+    void command(const SendOrders& o, double, std::function<void(OrdersAnswered&&)> done) override {
+        const auto it = p_.machines_.find(o.machine);
+        OrdersAnswered a{o.machine, o.batch, 0, it != p_.machines_.end(), std::nullopt};
+        if (it != p_.machines_.end()) std::tie(a.status, a.report) = it->second->obey(o.fence, o.tenure, o.orders);
+        later(std::move(done), std::move(a));
+    }
+    void rent(const Rent& ask, double, std::function<void(Rented&&)> done) override {
+        later(std::move(done), p_.out ? Rented{ask.claim, RentOutcome::failed, {}} : p_.rent(ask));
+    }
+    void release(const Release& ask, double, std::function<void(Released&&)> done) override {
+        if (!p_.out) p_.release(ask.machines);
+        later(std::move(done), Released{ask.machines, !p_.out});
+    }
+    void list(const std::string& since, double,
+              std::function<void(std::optional<codec::MachinePage>&&)> done) override {
+        later(std::move(done), p_.out ? std::nullopt : std::optional(p_.page(since)));
+    }
+    void types(double, std::function<void(std::optional<std::vector<MachineType>>&&)> done) override {
+        later(std::move(done), p_.out ? std::nullopt : std::optional(p_.plan_.types));
+    }
+
+private:
+    template <class F, class A> void later(F done, A answer) {
+        answers_.push_back([done = std::move(done), answer = std::move(answer)]() mutable { done(std::move(answer)); });
+        uv_async_send(async_);
+    }
+    Platform& p_;
+    std::deque<std::function<void()>> answers_;
+    uv_async_t* async_;
+};
+
+std::unique_ptr<Executor> Platform::executor() {
+    direct_ = true;
+    if (plan_.workers.nodes.empty()) plan_.workers.nodes.emplace_back("direct", "");
+    if (!plan_.lockstep) timer_.start(loop_, tick_ms, [this] { turn(); });
+    return std::make_unique<Direct>(*this);
 }
 
-void Platform::tick() {
+void Platform::turn() {
     const double t = now();
     gone_.clear();
     for (auto& [id, m] : machines_) m->tick(t);
@@ -262,6 +354,13 @@
     return out;
 }
 
+double Platform::run_s(const JobSpec& s, const ReportedTask& t) const {
+    std::string name = fmt::format("{} {}/{} {}", plan_.seed, t.job, t.index, t.try_no);
+    std::seed_seq from(name.begin(), name.end());
+    std::minstd_rand rng(from);
+    return std::max(0.05, s.estimate_s * plan_.run_share * std::uniform_real_distribution<double>(0.67, 1.33)(rng));
+}
+
 StandInWorker* Platform::any() {
     std::vector<StandInWorker*> list;
     for (auto& [id, m] : machines_)
@@ -291,57 +390,75 @@
 
 void Platform::handle(HttpRequest&& r, const Responder& res) {
     if (out) return res.send(503, error_body("trouble"));
-    const double t = now();
     const bool get = r.method == "GET", post = r.method == "POST";
     if (get && r.path == codec::path_types) return res.send(200, codec::types_to_json(plan_.types).dump());
     if (get && r.path == codec::path_rentals) {
-        codec::MachinePage page;
         const auto at = r.query.find("since=");
-        const auto since = at == std::string::npos ? "" : r.query.substr(at + 6, r.query.find('&', at) - at - 6);
-        for (auto it = machines_.upper_bound(since); it != machines_.end(); ++it) {
-            if (page.machines.size() >= 500) {
-                page.more = true;
-                break;
-            }
-            page.machines.push_back(it->second->listed(t));
-        }
-        return res.send(200, codec::to_body(page));
+        return res.send(
+            200, codec::to_body(
+                     page(at == std::string::npos ? "" : r.query.substr(at + 6, r.query.find('&', at) - at - 6))));
     }
     if (post && r.path == codec::path_release) {
         const auto list = codec::rented(r.body);
         if (!list || list->size() > 100) return res.send(400, error_body("hosts"));
-        for (const auto& id : *list)
-            if (const auto it = machines_.find(id); it != machines_.end()) {
-                ++returned_;
-                kill(*it->second);
-            }
+        release(*list);
         return res.send(200, "{}");
     }
     if (!post || r.path != codec::path_rentals) return res.send(404, error_body("no such path"));
     const auto ask = codec::rental_request(r.body);
+    if (!ask) return res.send(400, error_body("malformed"));
+    const auto a = rent({ask->claim, ask->type, ask->zone, ask->spot, ask->count});
+    if (a.outcome == RentOutcome::failed) return res.send(400, error_body("malformed"));
+    if (a.outcome == RentOutcome::no_capacity) return res.send(503, error_body("no capacity"));
+    res.send(200, codec::release(a.machines));
+}
+
+codec::MachinePage Platform::page(const std::string& since) {
+    ++messages_;
+    codec::MachinePage page;
+    for (auto it = machines_.upper_bound(since); it != machines_.end(); ++it) {
+        if (page.machines.size() >= 500) {
+            page.more = true;
+            break;
+        }
+        page.machines.push_back(it->second->listed(now()));
+    }
+    return page;
+}
+
+void Platform::release(const std::vector<std::string>& machines) {
+    ++messages_;
+    for (const auto& id : machines)
+        if (const auto it = machines_.find(id); it != machines_.end()) {
+            ++returned_;
+            kill(*it->second);
+        }
+}
+
+Rented Platform::rent(const Rent& ask) {
+    ++messages_;
     const MachineType* type = nullptr;
     for (const auto& x : plan_.types)
-        if (ask && x.name == ask->type && std::find(x.zones.begin(), x.zones.end(), ask->zone) != x.zones.end())
-            type = &x;
-    if (type == nullptr) return res.send(400, error_body("malformed"));
-    if (const auto known = claims_.find(ask->claim); known != claims_.end())
-        return res.send(200, codec::release(known->second));
+        if (x.name == ask.type && std::find(x.zones.begin(), x.zones.end(), ask.zone) != x.zones.end()) type = &x;
+    if (type == nullptr) return {ask.claim, RentOutcome::failed, {}};
+    if (const auto known = claims_.find(ask.claim); known != claims_.end())
+        return {ask.claim, RentOutcome::rented, known->second};
     const auto have = std::count_if(machines_.begin(), machines_.end(), [&](const auto& m) {
         const auto& x = *m.second;
-        return x.type_.name == type->name && x.zone_ == ask->zone && x.spot_ == ask->spot;
+        return x.type_.name == type->name && x.zone_ == ask.zone && x.spot_ == ask.spot;
     });
-    const int n = std::min(ask->count, plan_.capacity - static_cast<int>(have));
-    if (n <= 0) return res.send(503, error_body("no capacity"));
-    auto& names = claims_[ask->claim];
+    const int n = std::min(ask.count, plan_.capacity - static_cast<int>(have));
+    if (n <= 0) return {ask.claim, RentOutcome::no_capacity, {}};
+    auto& names = claims_[ask.claim];
     for (int i = 0; i < n; ++i) {
         auto id = fmt::format("n-{:06}", ++named_);
-        auto w = std::make_unique<StandInWorker>(*this, id, *type, ask->zone, ask->spot,
-                                                 t + type->boot_s * between(0.6, 1.5));
+        auto w = std::make_unique<StandInWorker>(*this, id, *type, ask.zone, ask.spot,
+                                                 now() + type->boot_s * between(0.6, 1.5));
         if (w->start() != 0) break;
         machines_[id] = std::move(w);
         names.push_back(std::move(id));
     }
-    res.send(200, codec::release(names));
+    return {ask.claim, RentOutcome::rented, names};
 }
 
 } // namespace heronshift::local
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1,9 +1,9 @@
 #include "heronshift/node.hpp"
 
+#include "heronshift/executor/http.hpp"
 #include "heronshift/store/remote.hpp"
 
 #include <algorithm>
-#include <chrono>
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
@@ -36,10 +36,11 @@
     return true;
 }
 
-Node::Node(uv_loop_t* loop, Settings settings, std::unique_ptr<store::StateStore> state)
-    : s_(std::move(settings)), loop_(loop),
-      store_(state ? std::move(state) : std::make_unique<store::RemoteStore>(loop, s_.state)), cloud_(loop, 2, 16),
-      agents_(loop, 1, 4), peer_client_(loop, 8, 64),
+Node::Node(uv_loop_t* loop, Settings settings, Parts parts)
+    : s_(std::move(settings)), loop_(loop), clock_(parts.clock ? std::move(parts.clock) : std::make_shared<Clock>()),
+      store_(parts.state ? std::move(parts.state) : std::make_unique<store::RemoteStore>(loop, s_.state)),
+      executor_(parts.executor ? std::move(parts.executor) : std::make_unique<HttpExecutor>(loop, s_.cloud)),
+      peer_client_(loop, 8, 64),
       // What a user's read may take when this node is alone with the store.
       store_budget_(s_.state_rps / 4, s_.state_rps / 6), submit_budget_(s_.state_write_rps / 5, s_.state_write_rps / 3),
       cloud_budget_(s_.cloud_rps * 0.8, std::max(1.0, s_.cloud_rps)),
@@ -58,15 +59,6 @@
     }
 }
 
-double Node::now() const {
-    return static_cast<double>(uv_hrtime()) * 1e-9;
-}
-
-double Node::wall() const {
-    using namespace std::chrono;
-    return duration<double>(system_clock::now().time_since_epoch()).count();
-}
-
 int Node::start() {
     // Sockets: a part stays free for workers, peers, the store and the cloud.
     const auto fds = static_cast<std::size_t>(s_.fd_limit);
@@ -76,8 +68,10 @@
     peers_ = std::make_unique<HttpServer>(loop_, fds / 10, 2 * s_.lease_s + 30, [this](HttpRequest&& r, Responder res) {
         on_peer(std::move(r), std::move(res));
     });
-    if (const int e = users_->listen(s_.listen); e != 0) return e;
-    if (const int e = peers_->listen(s_.peer_listen); e != 0) return e;
+    for (const auto& [server, at] : {std::pair{users_.get(), &s_.listen}, std::pair{peers_.get(), &s_.peer_listen}})
+        if (!at->host.empty())
+            if (const int e = server->listen(*at); e != 0) return e;
+    executor_->reports_to([this](Report&& r, Executor::ReportDone done) { report(std::move(r), std::move(done)); });
     handles_ = new Handles;
     handles_->open = 3;
     uv_timer_init(loop_, &handles_->tick);
@@ -116,33 +110,32 @@
     if (core_) at = queue_.empty() || !valid() ? std::min(at, core_->wake_at()) : 0;
     const double in = std::max(0.0, at - now());
     uv_timer_start(
-        &handles_->wake,
-        [](uv_timer_t* t) {
-            auto* n = static_cast<Node*>(t->data);
-            std::vector<Later> due;
-            const double now = n->now() + 0.0005;
-            for (std::size_t i = 0; i < n->later_.size();) {
-                if (n->later_[i].at > now) {
-                    ++i;
-                    continue;
-                }
-                due.push_back(std::move(n->later_[i]));
-                n->later_[i] = std::move(n->later_.back());
-                n->later_.pop_back();
-            }
-            for (auto& l : due) l.f();
-            n->run_core();
-            n->arm();
-        },
+        &handles_->wake, [](uv_timer_t* t) { static_cast<Node*>(t->data)->wake(); },
         // Never 0: libuv runs a timer that is due again at once for ever.
         std::max<std::uint64_t>(1, static_cast<std::uint64_t>(in * 1000 + 0.999)), 0);
 }
 
+void Node::wake() {
+    std::vector<Later> due;
+    const double t = now() + 0.0005;
+    for (std::size_t i = 0; i < later_.size();) {
+        if (later_[i].at > t) {
+            ++i;
+            continue;
+        }
+        due.push_back(std::move(later_[i]));
+        later_[i] = std::move(later_.back());
+        later_.pop_back();
+    }
+    for (auto& l : due) l.f();
+    run_core();
+    arm();
+}
+
 void Node::tick() {
     if (on_tick_) on_tick_();
     store_->sweep();
-    cloud_.sweep();
-    agents_.sweep();
+    executor_->sweep();
     peer_client_.sweep();
     const double t = now();
     if (t >= next_sweep_) {
@@ -210,25 +203,22 @@
     if (auto* e = std::get_if<Commit>(&effect)) {
         commit(std::move(*e), 0);
     } else if (auto* orders = std::get_if<SendOrders>(&effect)) {
-        auto answered = [this, gen, id = orders->machine, batch = orders->batch](HttpReply&& r) {
+        executor_->command(*orders, s_.report_s / 2, [this, gen](OrdersAnswered&& a) {
             if (gen != generation_) return;
-            if (r.status != 0) workers_heard_ = now();
-            OrdersAnswered c{id, batch, r.status, r.sent, std::nullopt};
-            if (r.status == 200 || r.status == 409) c.report = codec::report(r.body);
-            push(std::move(c));
+            if (a.status != 0) workers_heard_ = now();
+            push(std::move(a));
             arm();
-        };
-        agents_.request(orders->addr, "POST", std::string(codec::path_commands),
-                        codec::commands(orders->fence, orders->tenure, orders->orders), s_.report_s / 2, answered);
+        });
     } else if (auto* reply = std::get_if<BeatAnswer>(&effect)) {
         const auto it = beats_.find(reply->handle);
         if (it == beats_.end()) return;
         // A 200 renews a lease, so it is sent only while nobody else can hold the office.
+        const auto done = std::move(it->second);
+        beats_.erase(it);
         if (reply->status == 200 && valid())
-            it->second.res.send(200, codec::orders(reply->fence, reply->orders));
+            done({200, reply->fence, std::move(reply->orders), {}});
         else
-            it->second.res.send(503, "{}");
-        beats_.erase(it);
+            done({});
     } else if (auto* answer = std::get_if<CancelAnswer>(&effect)) {
         const auto it = cancels_.find(answer->handle);
         if (it == cancels_.end()) return;
@@ -266,36 +256,29 @@
             arm();
         });
     } else if (auto* rent = std::get_if<Rent>(&effect)) {
-        cloud_request("POST", std::string(codec::path_rentals),
-                      codec::rental(rent->claim, rent->type, rent->zone, rent->spot, rent->count),
-                      [this, gen, claim = rent->claim](HttpReply&& r) {
-                          if (gen != generation_) return;
-                          Rented c{claim, RentOutcome::unknown, {}};
-                          if (r.status == 200) {
-                              if (auto list = codec::rented(r.body); list) {
-                                  c.outcome = RentOutcome::rented;
-                                  c.machines = std::move(*list);
-                              }
-                          } else if (r.status == 503 && r.body.find("no capacity") != std::string::npos) {
-                              c.outcome = RentOutcome::no_capacity;
-                          } else if (r.status == 503 || r.status == 429 || r.status == 400 ||
-                                     (r.status == 0 && !r.sent)) {
-                              c.outcome = RentOutcome::failed;
-                          }
-                          const double delay = c.outcome == RentOutcome::rented ? 0 : s_.report_s / 6;
-                          after(delay, [this, gen, c = std::move(c)]() mutable {
-                              if (gen != generation_) return;
-                              push(std::move(c));
-                              arm();
-                          });
-                      });
+        cloud_request([this, gen, ask = *rent](bool go) {
+            auto done = [this, gen](Rented&& c) {
+                if (gen != generation_) return;
+                const double delay = c.outcome == RentOutcome::rented ? 0 : s_.report_s / 6;
+                after(delay, [this, gen, c = std::move(c)]() mutable {
+                    if (gen != generation_) return;
+                    push(std::move(c));
+                    arm();
+                });
+            };
+            if (!go) return done({ask.claim, RentOutcome::failed, {}});
+            executor_->rent(ask, s_.report_s * 2, done);
+        });
     } else if (auto* release = std::get_if<Release>(&effect)) {
-        cloud_request("POST", std::string(codec::path_release), codec::release(release->machines),
-                      [this, gen, list = release->machines](HttpReply&& r) {
-                          if (gen != generation_) return;
-                          push(Released{list, r.status == 200});
-                          arm();
-                      });
+        cloud_request([this, gen, ask = *release](bool go) {
+            auto done = [this, gen](Released&& c) {
+                if (gen != generation_) return;
+                push(std::move(c));
+                arm();
+            };
+            if (!go) return done({ask.machines, false});
+            executor_->release(ask, s_.report_s * 2, done);
+        });
     } else if (auto* end = std::get_if<StepDown>(&effect)) {
         step_down(end->why);
     } else if (auto* line = std::get_if<Note>(&effect)) {
@@ -316,19 +299,19 @@
     };
 }
 
-void Node::cloud_request(const char* method, std::string path, std::string body, HttpClient::Callback done) {
-    cloud_queue_.push_back({method, std::move(path), std::move(body), std::move(done)});
+void Node::cloud_request(std::function<void(bool)> ask) {
+    cloud_queue_.push_back(std::move(ask));
     cloud_pump();
 }
 
 void Node::cloud_pump() {
     // What a holder asked for that may no longer act must not reach the cloud later.
     if (!valid())
-        for (auto gone = std::move(cloud_queue_); !gone.empty(); gone.pop_front()) gone.front().done({});
+        for (auto gone = std::move(cloud_queue_); !gone.empty(); gone.pop_front()) gone.front()(false);
     while (!cloud_queue_.empty() && cloud_budget_.take(now())) {
-        auto c = std::move(cloud_queue_.front());
+        const auto ask = std::move(cloud_queue_.front());
         cloud_queue_.pop_front();
-        cloud_.request(s_.cloud.str(), c.method.c_str(), c.path, std::move(c.body), s_.report_s * 2, std::move(c.done));
+        ask(true);
     }
 }
 
@@ -339,21 +322,20 @@
         listing_.clear();
         listing_at_ = now();
     }
-    auto path = std::string(codec::path_rentals) + "?most=500";
-    if (!since.empty()) path += "&since=" + since;
-    cloud_request("GET", path, "", [this, gen](HttpReply&& r) {
-        if (gen != generation_) return;
-        auto page = r.status == 200 ? codec::machine_page(r.body) : std::nullopt;
-        if (!page) return;
-        std::string last;
-        for (auto& m : page->machines) {
-            last = m.id;
-            listing_.push_back(std::move(m));
-        }
-        if (page->more && !last.empty()) return list_machines(last);
-        push(Listed{std::move(listing_), listing_at_});
-        listing_.clear();
-        arm();
+    cloud_request([this, gen, since](bool go) {
+        if (!go) return;
+        executor_->list(since, s_.report_s * 2, [this, gen](std::optional<codec::MachinePage>&& page) {
+            if (gen != generation_ || !page) return;
+            std::string last;
+            for (auto& m : page->machines) {
+                last = m.id;
+                listing_.push_back(std::move(m));
+            }
+            if (page->more && !last.empty()) return list_machines(last);
+            push(Listed{std::move(listing_), listing_at_});
+            listing_.clear();
+            arm();
+        });
     });
 }
 
@@ -365,9 +347,8 @@
     const bool holder = office_ == Office::held;
     if (!types_.empty() && (!holder || now() - types_at_ < s_.lease_s)) return;
     learning_types_ = true;
-    auto learned = [this](HttpReply&& r) {
+    auto learned = [this](std::optional<std::vector<MachineType>>&& types) {
         learning_types_ = false;
-        auto types = r.status == 200 ? codec::machine_types(r.body) : std::nullopt;
         if (!types) return;
         const bool first = types_.empty();
         types_ = std::move(*types);
@@ -379,9 +360,7 @@
         }
         if (first) transact({{"types", 0}}, {{"types", codec::types_to_json(types_), 0}}, 1, [](store::Answer&&) {});
     };
-    auto from_cloud = [this, learned] {
-        cloud_.request(s_.cloud.str(), "GET", std::string(codec::path_types), "", s_.report_s * 2, learned);
-    };
+    auto from_cloud = [this, learned] { executor_->types(s_.report_s * 2, learned); };
     if (!types_.empty()) return from_cloud();
     get("types", s_.report_s / 2, [this, learned, from_cloud](store::Answer&& r) {
         if (r.item) {
@@ -413,7 +392,7 @@
     const std::string_view path = r.path;
     const bool get = r.method == "GET", post = r.method == "POST";
     auto wrong_method = [&] { res.send(405, error_body("wrong method")); };
-    if (path == codec::path_report) return post ? beat(std::move(r), std::move(res)) : wrong_method();
+    if (path == codec::path_report) return post ? beat(r, std::move(res)) : wrong_method();
     if (path == codec::path_health) {
         if (!get) return wrong_method();
         return types_.empty() ? res.send(503, not_now, retry_soon_s) : res.send(200, "{}");
@@ -444,20 +423,31 @@
     cancel(id, std::move(r), std::move(res), forwarded);
 }
 
-void Node::beat(HttpRequest&& r, Responder res) {
-    if (!valid() || !core_) {
-        if (!holder_.empty() && holder_ != s_.name) return res.send(421, codec::redirect(holder_));
-        return res.send(503, "{}");
+void Node::beat(const HttpRequest& r, Responder res) {
+    std::optional<Report> read;
+    if (valid() && core_) {
+        read = codec::report(r.body);
+        if (!read) {
+            spdlog::warn("malformed report");
+            return res.send(400, error_body("malformed report"));
+        }
     }
-    auto report = codec::report(r.body);
-    if (!report) {
-        spdlog::warn("malformed report");
-        return res.send(400, error_body("malformed report"));
+    report(read ? std::move(*read) : Report{}, [res = std::move(res)](const ReportAnswer& a) {
+        if (a.status == 200) return res.send(200, codec::orders(a.fence, a.orders));
+        if (a.status == 421) return res.send(421, codec::redirect(a.holder));
+        res.send(a.status, "{}");
+    });
+}
+
+void Node::report(Report&& r, Executor::ReportDone done) {
+    if (!valid() || !core_) {
+        const bool other = !holder_.empty() && holder_ != s_.name;
+        return done({other ? 421 : 503, 0, {}, other ? holder_ : ""});
     }
     const auto h = ++handle_seq_;
-    beats_[h] = {std::move(res), {}, now()};
+    beats_[h] = std::move(done);
     workers_heard_ = now();
-    push(Beat{std::move(*report), h});
+    push(Beat{std::move(r), h});
 }
 
 // Passes a request on to the holder; what it does not answer is handled here.
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -238,9 +238,8 @@
     queue_.clear();
     core_.reset();
     cloud_queue_.clear();
-    for (auto& [h, o] : beats_) o.res.send(503, "{}");
+    for (const auto& [h, done] : std::exchange(beats_, {})) done({});
     for (auto& [h, o] : cancels_) o.res.send(503, "{}", 1);
-    beats_.clear();
     cancels_.clear();
     after(s_.report_s / 10, [this, g = generation_] {
         if (g == generation_) watch_office();
--- a/src/store/remote.cpp
+++ b/src/store/remote.cpp
@@ -1,5 +1,6 @@
 #include "heronshift/store/remote.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace heronshift::store {
@@ -7,6 +8,7 @@
 
 constexpr std::size_t connections = 8, waiting = 200, follow_connections = 2, follow_waiting = 4;
 constexpr double follow_slack_s = 2;
+constexpr double longest_block_s = 60; // the state service refuses a longer one
 
 // An answer that cannot be read is none: what was asked for may have been done.
 void unreadable(Answer& a) {
@@ -101,6 +103,9 @@
 }
 
 void RemoteStore::follow(const std::string& under, std::uint64_t since, double block_s, Callback done) {
+    // With leases of three minutes every follow was refused, and the holder never heard of the jobs that
+    // other nodes had stored.
+    block_s = std::min(block_s, longest_block_s);
     follows_.request(at_, "GET",
                      fmt::format("{}?under={}&since={}&blockMs={}", codec::path_follow, under, since,
                                  static_cast<int>(block_s * 1000)),
--- a/tests/test_replay.cpp
+++ b/tests/test_replay.cpp
@@ -119,7 +119,8 @@
     EXPECT_NE(error_of(f.path).find(":1: it is empty"), std::string::npos);
     f.write("{}\n");
     EXPECT_NE(error_of(f.path).find("no command log"), std::string::npos);
-    f.write(R"({"heronshift":"command log","version":99})" "\n");
+    f.write(R"({"heronshift":"command log","version":99})"
+            "\n");
     EXPECT_NE(error_of(f.path).find("version"), std::string::npos);
 }
 
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -1,4 +1,5 @@
 // One contract, three stores: in memory, in a file, and over HTTP. Then what only a file can suffer.
+#include "heronshift/store/direct.hpp"
 #include "heronshift/store/file_data.hpp"
 #include "heronshift/store/local.hpp"
 #include "heronshift/store/remote.hpp"
@@ -91,7 +92,7 @@
     }
 };
 
-enum class Kind { memory, file, remote };
+enum class Kind { memory, file, remote, direct };
 
 struct Rig {
     explicit Rig(Kind kind, const Limits& limits = {}) {
@@ -101,6 +102,10 @@
             store = std::make_unique<RemoteStore>(&loop.loop, Endpoint{"127.0.0.1", server->port()});
             return;
         }
+        if (kind == Kind::direct) {
+            store = std::make_unique<DirectStore>(&loop.loop, std::make_unique<Engine>(memory_data(), limits));
+            return;
+        }
         path = file_name();
         remove_file(path);
         auto data = kind == Kind::file ? file_data(path) : memory_data();
@@ -251,9 +256,12 @@
     EXPECT_LT(refused, 40);
 }
 
-INSTANTIATE_TEST_SUITE_P(Stores, Contract, ::testing::Values(Kind::memory, Kind::file, Kind::remote),
+INSTANTIATE_TEST_SUITE_P(Stores, Contract, ::testing::Values(Kind::memory, Kind::file, Kind::remote, Kind::direct),
                          [](const auto& i) {
-                             return i.param == Kind::memory ? "Memory" : i.param == Kind::file ? "File" : "Remote";
+                             return i.param == Kind::memory   ? "Memory"
+                                    : i.param == Kind::file   ? "File"
+                                    : i.param == Kind::remote ? "Remote"
+                                                              : "Direct";
                          });
 
 TEST(RemoteStore, AnOutageIs503AndSilenceIsNoAnswer) {
