--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -3,6 +3,7 @@
 #include "heronshift/cli/schema.hpp"
 #include "heronshift/config.hpp"
 #include "heronshift/local/local.hpp"
+#include "heronshift/local/stand_in.hpp"
 #include "heronshift/node.hpp"
 #include "heronshift/replay/command_log.hpp"
 #include "heronshift/store/file_data.hpp"
@@ -10,12 +11,15 @@
 #include "heronshift/version.hpp"
 
 #include <CLI/CLI.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <nlohmann/json.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -23,9 +27,36 @@
 
 namespace store = heronshift::store;
 
-void set_up_log() {
+// One JSON object a line: time (RFC 3339, UTC), level, node if it is known by then, message.
+class JsonLines final : public spdlog::formatter {
+public:
+    explicit JsonLines(std::string node) : node_(std::move(node)) {}
+    void format(const spdlog::details::log_msg& m, spdlog::memory_buf_t& out) override {
+        const auto since = m.time.time_since_epoch();
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+        const auto level = spdlog::level::to_string_view(m.level);
+        nlohmann::ordered_json j{{"time", fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                                                      fmt::gmtime(static_cast<std::time_t>(ms / 1000)), ms % 1000)},
+                                 {"level", std::string(level.data(), level.size())}};
+        if (!node_.empty()) j["node"] = node_;
+        j["message"] = std::string(m.payload.data(), m.payload.size());
+        const auto text = j.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+        out.append(text.data(), text.data() + text.size());
+    }
+    [[nodiscard]] std::unique_ptr<spdlog::formatter> clone() const override {
+        return std::make_unique<JsonLines>(node_);
+    }
+
+private:
+    std::string node_;
+};
+
+void set_up_log(bool json, const std::string& node) {
     auto log = spdlog::stderr_logger_st("heronshift");
-    log->set_pattern("%L %v");
+    if (json)
+        log->set_formatter(std::make_unique<JsonLines>(node));
+    else
+        log->set_pattern("%L %v");
     const char* level = std::getenv("LOG_LEVEL");
     const std::string name = level != nullptr ? level : "info";
     log->set_level(name == "debug" ? spdlog::level::debug : name == "error" ? spdlog::level::err : spdlog::level::info);
@@ -38,6 +69,11 @@
     return s;
 }
 
+void hold_against(const std::string& file, const char* schema, std::string (*as_json)(const std::string&)) {
+    if (const auto why = heronshift::cli::violation(schema, as_json(file)); !why.empty())
+        throw heronshift::SettingsError(file + ": " + why);
+}
+
 int run(heronshift::Settings s, std::unique_ptr<heronshift::replay::CommandLog> log, const std::string& state_file) {
     std::signal(SIGPIPE, SIG_IGN);
     auto* loop = uv_default_loop();
@@ -96,6 +132,12 @@
     app.add_option("--operators", operators, "the operators' own settings (S-expressions), optional");
     auto* check = app.add_subcommand("check", "validate the settings and print what is in force");
     check->fallthrough();
+    std::string log_format = "text";
+    app.add_option("--log-format", log_format, "of stderr: text, or json with one object a line")
+        ->check(CLI::IsMember({"text", "json"}))
+        ->capture_default_str();
+    auto* serve = app.add_subcommand("serve", "run one controller until it is asked to end; so does no verb at all");
+    serve->fallthrough();
     std::string command_log, replay_file, state_file, backup_from, backup_to;
     double command_log_mb = static_cast<double>(heronshift::replay::usual_size) / 1e6;
     bool allow_cut = false;
@@ -120,6 +162,38 @@
                      "stand-ins only: machines report to the scheduler of another program at this port")
         ->check(CLI::Range(1, 65535));
     local_verb->add_flag("--stay", local.stay, "go on serving after the load, until interrupted");
+    auto* stand_in = app.add_subcommand("stand-in", "one part of that platform, until interrupted");
+    stand_in->require_subcommand(1);
+    std::string stand_in_at;
+    store::Limits limits{200, 100, 24, 16};
+    heronshift::local::PlatformPlan cloud;
+    std::vector<std::string> workers_to;
+    auto* state_service = stand_in->add_subcommand("state", "the state service, in memory");
+    auto* cloud_service = stand_in->add_subcommand("cloud", "the cloud, with machines that pretend to run tasks");
+    for (auto* v : {state_service, cloud_service})
+        v->add_option("--listen", stand_in_at, "ADDRESS:PORT; port 0: one that is free")->required();
+    state_service->add_option("--rps", limits.rps, "requests a second; 0: no limit")
+        ->check(CLI::NonNegativeNumber)
+        ->capture_default_str();
+    state_service->add_option("--write-rps", limits.write_rps, "changes a second; 0: no limit")
+        ->check(CLI::NonNegativeNumber)
+        ->capture_default_str();
+    state_service->add_option("--txn-ops", limits.txn_ops, "changes in a transaction")
+        ->check(CLI::Range(1, 1000))
+        ->capture_default_str();
+    state_service->add_option("--value-kb", limits.value_kb, "of a value")
+        ->check(CLI::Range(1.0, 64.0))
+        ->capture_default_str();
+    cloud_service->add_option("--node", workers_to, "a controller that machines report to, NAME=ADDRESS:PORT")
+        ->required();
+    cloud_service->add_option("--capacity", cloud.capacity, "machines of a type, zone and kind")
+        ->check(CLI::Range(0, 1000))
+        ->capture_default_str();
+    cloud_service->add_option("--report-s", cloud.workers.report_s)
+        ->check(CLI::Range(0.1, 60.0))
+        ->capture_default_str();
+    cloud_service->add_option("--lease-s", cloud.workers.lease_s)->check(CLI::Range(0.2, 600.0))->capture_default_str();
+    cloud_service->add_option("--seed", cloud.seed)->capture_default_str();
     std::vector<std::string> nodes;
     std::string job_file, job_id, schema_name;
     const auto user_verb = [&](const char* name, const char* what) {
@@ -136,7 +210,9 @@
     auto* watch_verb = user_verb("watch", "a line at each change, until the job is over");
     for (auto* v : {get_verb, cancel_verb, watch_verb}) v->add_option("ID", job_id, "such as wk-000412")->required();
     auto* schema_verb = app.add_subcommand("schema", "print a JSON Schema");
-    schema_verb->add_option("NAME", schema_name, "submission")->required()->check(CLI::IsMember({"submission"}));
+    schema_verb->add_option("NAME", schema_name, "submission, settings or operators")
+        ->required()
+        ->check(CLI::IsMember({"submission", "settings", "operators"}));
     app.add_option("--state-file", state_file, "keep state in this file (SQLite) instead of the state service");
     auto* backup_verb = app.add_subcommand("backup", "copy a state file, also while it is in use");
     backup_verb->add_option("FILE", backup_from, "the state file")->required();
@@ -152,7 +228,10 @@
         return 2;
     }
     if (schema_verb->parsed()) {
-        std::cout << heronshift::cli::submission_schema;
+        namespace cli = heronshift::cli;
+        std::cout << (schema_name == "submission" ? cli::submission_schema
+                      : schema_name == "settings" ? cli::settings_schema
+                                                  : cli::operators_schema);
         return 0;
     }
     if (submit_verb->parsed()) {
@@ -181,6 +260,23 @@
         }
         return run_verb(nodes, job_id);
     }
+    if (stand_in->parsed()) {
+        namespace local_ns = heronshift::local;
+        try {
+            const auto at = local_ns::address(stand_in_at);
+            if (state_service->parsed()) return local_ns::run_state(at, limits);
+            for (const auto& n : workers_to) {
+                const auto eq = n.find('=');
+                if (eq == std::string::npos || eq == 0)
+                    throw heronshift::SettingsError("--node: " + n + ": must be NAME=ADDRESS:PORT");
+                cloud.workers.nodes.emplace_back(n.substr(0, eq), local_ns::address(n.substr(eq + 1)).str());
+            }
+            return local_ns::run_cloud(at, std::move(cloud));
+        } catch (const heronshift::SettingsError& e) {
+            std::cerr << "heronshift: " << e.what() << "\n";
+            return 2;
+        }
+    }
     if (local_verb->parsed()) return heronshift::local::run_local(local);
     if (backup_verb->parsed()) {
         try {
@@ -196,9 +292,14 @@
         std::cerr << "heronshift: --config is required\n";
         return 2;
     }
-    set_up_log();
     try {
+        if (check->parsed()) {
+            hold_against(config, heronshift::cli::settings_schema, heronshift::settings_as_json);
+            if (!operators.empty())
+                hold_against(operators, heronshift::cli::operators_schema, heronshift::operators_as_json);
+        }
         auto s = read(config, operators);
+        set_up_log(log_format == "json", s.name);
         if (check->parsed()) {
             std::cout << heronshift::describe(s);
             return 0;
--- a/include/heronshift/config.hpp
+++ b/include/heronshift/config.hpp
@@ -65,4 +65,8 @@
 OperatorSettings load_operator_settings(const std::string& path, double report_s);
 std::string describe(const Settings& s);
 
+// The same files as JSON texts, nothing checked but their syntax: for schemas. Throw SettingsError.
+std::string settings_as_json(const std::string& path);
+std::string operators_as_json(const std::string& path);
+
 } // namespace heronshift
--- a/include/heronshift/core/core.hpp
+++ b/include/heronshift/core/core.hpp
@@ -7,6 +7,7 @@
 
 #include "heronshift/ledger/ledger.hpp"
 #include "heronshift/messages.hpp"
+#include "heronshift/metrics/metrics.hpp"
 #include "heronshift/policies/capacity.hpp"
 #include "heronshift/policies/placement.hpp"
 #include "heronshift/policies/rounds.hpp"
@@ -40,7 +41,7 @@
     [[nodiscard]] std::optional<JobView> view(const std::string& id) const {
         return ledger_.job(id);
     }
-    [[nodiscard]] std::string metrics() const;
+    [[nodiscard]] std::vector<metrics::Value> metrics() const;
 
     // The shape of a job that is alive here, which proves that it was accepted.
     [[nodiscard]] std::optional<Shape> shape_of(const std::string& id) const;
--- a/include/heronshift/local/cloud.hpp
+++ b/include/heronshift/local/cloud.hpp
@@ -54,6 +54,8 @@
     }
     double hung_until = -1, cut_until = -1; // a cut machine goes on running, a hanging one does not
     bool sick = false;                      // fails every task
+    // Until then all that passes is held up, and arrives in order when nobody waits for it any more.
+    double late_until = -1;
 
 private:
     friend class Platform;
@@ -83,6 +85,7 @@
     double last_beat_ = -1;
     std::set<std::string> images_;
     std::vector<Run> runs_;
+    std::vector<std::function<void()>> held_;
     HttpServer server_;
 };
 
--- a/include/heronshift/node.hpp
+++ b/include/heronshift/node.hpp
@@ -5,6 +5,7 @@
 #include "heronshift/core/core.hpp"
 #include "heronshift/executor/executor.hpp"
 #include "heronshift/http.hpp"
+#include "heronshift/metrics/metrics.hpp"
 #include "heronshift/replay/command_log.hpp"
 #include "heronshift/store/store.hpp"
 #include "heronshift/tenancy.hpp"
@@ -213,7 +214,11 @@
         double since = 0;
     };
     std::map<std::uint64_t, Open> cancels_;
-    std::map<std::uint64_t, Executor::ReportDone> beats_;
+    struct OpenReport {
+        Executor::ReportDone done;
+        double since = 0;
+    };
+    std::map<std::uint64_t, OpenReport> beats_;
     std::size_t lookups_ = 0;
     std::unordered_set<std::string> accepted_;
     std::deque<std::string> accepted_order_;
@@ -223,6 +228,11 @@
     };
     std::vector<Later> later_;
     std::uint64_t requests_ = 0, refused_ = 0;
+    struct {
+        metrics::Latency submit, report, commit, step, launch;
+    } took_;
+    metrics::FirstLaunches first_launches_;
+    [[nodiscard]] std::string metrics() const;
     double next_sweep_ = 0;
     std::function<void()> on_tick_;
 };
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <fmt/format.h>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
 
@@ -134,10 +135,8 @@
     fail("is not a known setting");
 }
 
-} // namespace
-
-OperatorSettings load_operator_settings(const std::string& path, double report_s) {
-    OperatorSettings o;
+// Names and values in the order of the file.
+std::vector<std::pair<std::string, std::string>> operator_file(const std::string& path) {
     auto text = slurp(path);
     // Comments run from ; to the end of the line.
     for (std::size_t i = 0; i < text.size(); ++i)
@@ -159,6 +158,7 @@
         }
     } freed{root};
     if (atom(root->list) != "heronshift") throw SettingsError(path + ": must start with (heronshift");
+    std::vector<std::pair<std::string, std::string>> out;
     std::set<std::string> seen;
     for (auto* e = root->list->next; e != nullptr; e = e->next) {
         if (e->ty != SEXP_LIST) throw SettingsError(path + ": " + atom(e) + ": must be (name value)");
@@ -167,8 +167,25 @@
         if (value == nullptr || value->next != nullptr)
             throw SettingsError(path + ": " + name + ": must be (name value)");
         if (!seen.insert(name).second) throw SettingsError(path + ": " + name + ": is given twice");
-        apply(o, path, name, atom(value));
+        out.emplace_back(name, atom(value));
+    }
+    return out;
+}
+
+toml::table toml_file(const std::string& path) {
+    slurp(path);
+    try {
+        return toml::parse_file(path);
+    } catch (const toml::parse_error& e) {
+        throw SettingsError(fmt::format("{}:{}: {}", path, e.source().begin.line, std::string(e.description())));
     }
+}
+
+} // namespace
+
+OperatorSettings load_operator_settings(const std::string& path, double report_s) {
+    OperatorSettings o;
+    for (const auto& [name, value] : operator_file(path)) apply(o, path, name, value);
     auto need = [&](bool ok, const char* name, const char* what) {
         if (!ok) throw SettingsError(path + ": " + name + ": " + what);
     };
@@ -181,13 +198,7 @@
 }
 
 Settings load_settings(const std::string& path) {
-    slurp(path);
-    toml::table t;
-    try {
-        t = toml::parse_file(path);
-    } catch (const toml::parse_error& e) {
-        throw SettingsError(fmt::format("{}:{}: {}", path, e.source().begin.line, std::string(e.description())));
-    }
+    const auto t = toml_file(path);
     const Reader r(path);
     Settings s;
     s.name = r.text(t, "", "host_name");
@@ -266,6 +277,21 @@
     return s;
 }
 
+std::string settings_as_json(const std::string& path) {
+    std::ostringstream out;
+    out << toml::json_formatter{toml_file(path)};
+    return out.str();
+}
+
+std::string operators_as_json(const std::string& path) {
+    auto out = nlohmann::json::object();
+    for (const auto& [name, value] : operator_file(path)) {
+        const auto v = nlohmann::json::parse(value, nullptr, false);
+        out[name] = v.is_number() ? v : nlohmann::json(value);
+    }
+    return out.dump();
+}
+
 std::string describe(const Settings& s) {
     std::string out;
     auto line = [&](const std::string& k, const auto& v) { out += fmt::format("{} = {}\n", k, v); };
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -1,7 +1,6 @@
 #include "heronshift/core/core.hpp"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace heronshift {
 namespace {
@@ -99,7 +98,7 @@
     return j == nullptr ? 0 : j->live;
 }
 
-std::string Core::metrics() const {
+std::vector<metrics::Value> Core::metrics() const {
     const auto& v = ledger_.view();
     const auto& n = ledger_.counters();
     std::size_t up = 0, live = 0;
@@ -107,11 +106,17 @@
         up += m->status == ledger::Status::up;
         live += m->entries.size();
     }
-    return fmt::format("heronshift_term {}\nheronshift_jobs {}\nheronshift_machines {}\nheronshift_machines_up {}\n"
-                       "heronshift_tasks_live {}\nheronshift_launches_total {}\nheronshift_lost_total {}\n"
-                       "heronshift_preempted_total {}\nheronshift_moved_total {}\nheronshift_commits_total {}\n",
-                       v.term, v.jobs.size(), v.machines.size(), up, live, n.launched, n.lost, n.preempted, n.moved,
-                       records_.committed_count());
+    const auto of = [](auto x) { return static_cast<double>(x); };
+    return {{"heronshift_term", "of office", of(v.term)},
+            {"heronshift_jobs", "known to the holder", of(v.jobs.size())},
+            {"heronshift_machines", "rented, as far as known", of(v.machines.size())},
+            {"heronshift_machines_up", "that report", of(up)},
+            {"heronshift_tasks_live", "on machines, or not surely off them", of(live)},
+            {"heronshift_launches_total", "tasks sent to machines in this term", of(n.launched)},
+            {"heronshift_lost_total", "tasks lost with their machine in this term", of(n.lost)},
+            {"heronshift_preempted_total", "tasks stopped for others in this term", of(n.preempted)},
+            {"heronshift_moved_total", "tasks moved in this term", of(n.moved)},
+            {"heronshift_commits_total", "transactions in this term", of(records_.committed_count())}};
 }
 
 } // namespace heronshift
--- a/src/local/cloud.cpp
+++ b/src/local/cloud.cpp
@@ -138,8 +138,12 @@
     if (r.method != "POST" || r.path != codec::path_commands) return res.send(404, error_body("no such path"));
     const auto o = codec::read_orders(r.body);
     if (!o || !o->fence || !o->tenure) return res.send(400, error_body("fence and tenure are needed"));
-    const auto [status, answer] = obey(*o->fence, *o->tenure, o->list);
-    res.send(status, codec::to_body(*answer));
+    const auto take = [this, o = *o, res] {
+        const auto [status, answer] = obey(*o.fence, *o.tenure, o.list);
+        if (answer) res.send(status, codec::to_body(*answer));
+    };
+    if (now < late_until) return held_.push_back(take);
+    take();
 }
 
 void StandInWorker::next_node(double now) {
@@ -180,6 +184,10 @@
     last_beat_ = now;
     changed_ = false;
     if (now < cut_until) return;
+    if (now < late_until) { // given up meanwhile: nobody hears the answer
+        held_.emplace_back([this, r = report()] { p_.send(*this, r, [](const ReportAnswer&) {}); });
+        return;
+    }
     in_flight_ = true;
     p_.send(*this, report(), [&p = p_, id = id_, now, tenure = tenure_](const ReportAnswer& a) {
         ++p.messages_;
@@ -217,6 +225,8 @@
         changed_ = true;
     }
     if (now < hung_until) return;
+    if (now >= late_until && now >= cut_until)
+        for (const auto& f : std::exchange(held_, {})) f();
     for (auto& r : runs_) {
         const auto& s = p_.jobs_[r.t.job];
         if (r.t.state == TaskState::fetching && now >= r.until) {
--- a/src/local/local.cpp
+++ b/src/local/local.cpp
@@ -3,6 +3,7 @@
 #include "heronshift/codec.hpp"
 #include "heronshift/local/cloud.hpp"
 #include "heronshift/local/port.hpp"
+#include "heronshift/local/stand_in.hpp"
 #include "heronshift/store/server.hpp"
 
 #include <algorithm>
@@ -31,10 +32,6 @@
     return {{"red", 40, 64, 0, 0}, {"blue", 24, 48, 0, 0}};
 }
 
-std::vector<MachineType> types() {
-    return {{"m8", {8, 0, 32}, 20, 2, 1.0, 0.3, 1, {"a", "b"}}, {"m16", {16, 0, 64}, 40, 2, 2.1, 0.7, 2, {"a", "b"}}};
-}
-
 JobSpec job(int n, Shape shape, std::uint32_t tasks, double cpus, const std::string& team, double run_s) {
     JobSpec s;
     s.id = fmt::format("wk-{:06}", n);
@@ -123,7 +120,7 @@
         PlatformPlan plan;
         plan.workers.report_s = report_s;
         plan.workers.lease_s = lease_s;
-        plan.types = types();
+        plan.types = usual_types();
         plan.seed = o_.seed;
         for (int i = 0; i < (o_.serve_port > 0 ? 0 : nodes); ++i) {
             Controller c;
@@ -141,13 +138,8 @@
             auto j = row ? codec::stored_job(codec::parse(row->data), 0) : std::nullopt;
             if (j) return std::move(j->spec);
             if (o_.serve_port == 0) return {};
-            // Kept in the other program's own store, where nobody here can read it: some task that runs a second.
-            JobSpec any;
-            any.id = id;
-            any.tasks = codec::most_tasks;
-            any.spot = true;
-            any.estimate_s = 1;
-            return any;
+            // Kept in the other program's own store, where nobody here can read it.
+            return any_job(id);
         };
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             const auto& c = nodes_[i];
@@ -335,7 +327,7 @@
         if (!o_.faults || t < next_fault_ || t > o_.seconds) return;
         next_fault_ = t + fault_every_s * between(0.6, 1.4);
         auto* w = platform_->any();
-        switch (std::uniform_int_distribution<int>(0, 7)(rng_)) {
+        switch (std::uniform_int_distribution<int>(0, 8)(rng_)) {
         case 0:
         case 1: {
             auto& c = nodes_[rng_() % nodes_.size()];
@@ -370,6 +362,11 @@
             say(fmt::format("trouble: {} is cut off", w->listed(0).id));
             w->cut_until = platform_->now() + between(1, 2 * lease_s);
             break;
+        case 7:
+            if (w == nullptr) return;
+            say(fmt::format("trouble: what {} and its controller say is held up", w->listed(0).id));
+            w->late_until = platform_->now() + between(1, 2 * lease_s);
+            break;
         default:
             if (w == nullptr) return;
             say(fmt::format("trouble: {} stops with all that is on it", w->listed(0).id));
--- /dev/null
+++ b/src/metrics/metrics.cpp
@@ -0,0 +1,83 @@
+#include "heronshift/metrics/metrics.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <prometheus/text_serializer.h>
+
+namespace heronshift::metrics {
+namespace {
+
+constexpr double least_s = 0.001, most_s = 65.536;
+constexpr unsigned bins = 16; // each twice the one before
+constexpr std::size_t most_waiting = 2000;
+
+} // namespace
+
+Latency::Latency() : bins_(boost::histogram::make_histogram(Axis(bins, least_s, most_s))) {}
+
+void Latency::add(double seconds) {
+    if (!std::isfinite(seconds)) return;
+    seconds = std::max(0.0, seconds);
+    bins_(std::max(seconds, least_s / 2)); // a logarithm of nothing is none: below the first bin
+    ++count_;
+    sum_ += seconds;
+}
+
+std::vector<Latency::Bucket> Latency::buckets() const {
+    std::vector<Bucket> out;
+    std::uint64_t below = 0;
+    for (int i = -1; i < static_cast<int>(bins_.axis().size()); ++i) { // -1: below the first
+        below += static_cast<std::uint64_t>(bins_.at(i));
+        out.push_back({bins_.axis().value(i + 1), below});
+    }
+    out.push_back({std::numeric_limits<double>::infinity(), count_});
+    return out;
+}
+
+double Latency::quantile(double q) const {
+    if (count_ == 0) return 0;
+    for (const auto& b : buckets())
+        if (static_cast<double>(b.count) >= q * static_cast<double>(count_)) return b.upto;
+    return std::numeric_limits<double>::infinity();
+}
+
+void FirstLaunches::known(const std::string& job, double now) {
+    if (!since_.emplace(job, now).second) return;
+    order_.push_back(job);
+    if (order_.size() <= most_waiting) return;
+    since_.erase(order_.front());
+    order_.pop_front();
+}
+
+void FirstLaunches::launched(const std::string& job, double now, Latency& into) {
+    const auto it = since_.find(job);
+    if (it == since_.end() || it->second < 0) return;
+    into.add(now - it->second);
+    it->second = -1; // stays known until it is the oldest, so that a second launch is not a first one
+}
+
+std::string text(const std::vector<Value>& values, const std::vector<Timed>& timed) {
+    using prometheus::ClientMetric;
+    using prometheus::MetricFamily;
+    using prometheus::MetricType;
+    std::vector<MetricFamily> all;
+    for (const auto& v : values) {
+        ClientMetric m;
+        const bool counter = v.name.ends_with("_total");
+        (counter ? m.counter.value : m.gauge.value) = v.value;
+        all.push_back({v.name, v.help, counter ? MetricType::Counter : MetricType::Gauge, {m}});
+    }
+    for (const auto& t : timed) {
+        ClientMetric m;
+        if (!t.label.empty()) m.label.push_back({t.label, t.label_value});
+        m.histogram.sample_count = t.latency->count();
+        m.histogram.sample_sum = t.latency->sum();
+        for (const auto& b : t.latency->buckets()) m.histogram.bucket.push_back({b.count, b.upto});
+        if (all.empty() || all.back().name != t.name) all.push_back({t.name, t.help, MetricType::Histogram, {}});
+        all.back().metric.push_back(std::move(m));
+    }
+    return prometheus::TextSerializer().Serialize(all);
+}
+
+} // namespace heronshift::metrics
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -186,7 +186,9 @@
             log_.reset();
         }
     }
-    if (const double took = now() - t; took > s_.report_s / 100)
+    const double took = now() - t;
+    took_.step.add(took);
+    if (took > s_.report_s / 100)
         spdlog::debug("a step took {:.0f} ms for {} commands and {} effects", took * 1000, commands, effects.size());
     queue_.insert(queue_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
     const auto gen = generation_;
@@ -203,6 +205,8 @@
     if (auto* e = std::get_if<Commit>(&effect)) {
         commit(std::move(*e), 0);
     } else if (auto* orders = std::get_if<SendOrders>(&effect)) {
+        for (const auto& o : orders->orders)
+            if (o.verb == Verb::launch) first_launches_.launched(o.job, now(), took_.launch);
         executor_->command(*orders, s_.report_s / 2, [this, gen](OrdersAnswered&& a) {
             if (gen != generation_) return;
             if (a.status != 0) workers_heard_ = now();
@@ -213,8 +217,11 @@
         const auto it = beats_.find(reply->handle);
         if (it == beats_.end()) return;
         // A 200 renews a lease, so it is sent only while nobody else can hold the office.
-        const auto done = std::move(it->second);
+        const auto done = std::move(it->second.done);
+        took_.report.add(now() - it->second.since);
         beats_.erase(it);
+        for (const auto& o : reply->orders)
+            if (o.verb == Verb::launch) first_launches_.launched(o.job, now(), took_.launch);
         if (reply->status == 200 && valid())
             done({200, reply->fence, std::move(reply->orders), {}});
         else
@@ -399,9 +406,7 @@
     }
     if (path == "/metrics") {
         if (!get) return wrong_method();
-        return res.send(
-            200, (core_ ? core_->metrics() : "") +
-                     fmt::format("heronshift_requests_total {}\nheronshift_refused_total {}\n", requests_, refused_));
+        return res.send(200, metrics());
     }
     if (path == codec::path_jobs) return post ? submit(std::move(r), std::move(res), forwarded) : wrong_method();
     if (!path.starts_with(codec::path_jobs) || path.size() <= codec::path_jobs.size() + 1 ||
@@ -423,6 +428,18 @@
     cancel(id, std::move(r), std::move(res), forwarded);
 }
 
+std::string Node::metrics() const {
+    auto values = core_ ? core_->metrics() : std::vector<metrics::Value>{};
+    values.push_back({"heronshift_requests_total", "from users and workers", static_cast<double>(requests_)});
+    values.push_back({"heronshift_refused_total", "requests sent away for now", static_cast<double>(refused_)});
+    return metrics::text(values, {{"heronshift_submit_seconds", "to store a job and answer", "", "", &took_.submit},
+                                  {"heronshift_first_launch_seconds",
+                                   "from when the holder knows a job to its first launch", "", "", &took_.launch},
+                                  {"heronshift_report_seconds", "to answer a report", "", "", &took_.report},
+                                  {"heronshift_commit_seconds", "to store a transaction", "", "", &took_.commit},
+                                  {"heronshift_step_seconds", "of decisions", "", "", &took_.step}});
+}
+
 void Node::beat(const HttpRequest& r, Responder res) {
     std::optional<Report> read;
     if (valid() && core_) {
@@ -445,7 +462,7 @@
         return done({other ? 421 : 503, 0, {}, other ? holder_ : ""});
     }
     const auto h = ++handle_seq_;
-    beats_[h] = std::move(done);
+    beats_[h] = {std::move(done), now()};
     workers_heard_ = now();
     push(Beat{std::move(r), h});
 }
@@ -631,19 +648,21 @@
 }
 
 void Node::store_job(JobSpec spec, HttpRequest&& request, Responder res, bool forwarded, int tries) {
-    const double at = wall();
+    const double at = wall(), began = now();
     const bool waits = !spec.needs.empty();
     const std::vector<codec::Guard> guards{{"j/" + spec.id, 0}, {"f/" + spec.id, 0}};
     const std::vector<codec::Write> writes{{"j/" + spec.id, codec::to_record({spec, at, -1, waits, {}}), 0}};
     // Where the store does not answer this node, another may still be served within the user's time.
     const double patience = forwarded ? s_.report_s / 2 : s_.report_s / 10;
     transact(guards, writes, patience,
-             [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries, at,
+             [this, spec = std::move(spec), request = std::move(request), res, forwarded, tries, at, began,
               waits](store::Answer&& r) mutable {
                  const auto id = spec.id;
                  if (r.status == 200) {
+                     took_.submit.add(now() - began);
                      if (spec.shape != Shape::service) remember_accepted(id);
                      if (core_ && office_ == Office::held) {
+                         first_launches_.known(id, now());
                          push(JobStored{std::move(spec), std::max(0.0, wall() - at), -1, waits});
                          arm();
                      }
--- a/src/office.cpp
+++ b/src/office.cpp
@@ -238,7 +238,7 @@
     queue_.clear();
     core_.reset();
     cloud_queue_.clear();
-    for (const auto& [h, done] : std::exchange(beats_, {})) done({});
+    for (const auto& [h, open] : std::exchange(beats_, {})) open.done({});
     for (auto& [h, o] : cancels_) o.res.send(503, "{}", 1);
     cancels_.clear();
     after(s_.report_s / 10, [this, g = generation_] {
@@ -286,9 +286,10 @@
     auto writes = c.writes;
     writes.push_back({round_key, Json{{"term", term_}, {"n", round_seq_ + 1}}, 0});
     transact({{office_key, office_stamp_}, {round_key, round_stamp_}}, writes, s_.report_s / 3,
-             [this, gen, c = std::move(c), tries](store::Answer&& r) mutable {
+             [this, gen, c = std::move(c), tries, began = now()](store::Answer&& r) mutable {
                  if (gen != generation_ || !core_) return;
                  if (r.status == 200) {
+                     took_.commit.add(now() - began);
                      round_stamp_ = r.epoch;
                      ++round_seq_;
                      push(Committed{TxnOutcome::applied});
--- a/tests/test_cli.cpp
+++ b/tests/test_cli.cpp
@@ -1,8 +1,14 @@
 // The shipped schema says what the service says, and names the field.
 #include "heronshift/cli/schema.hpp"
 #include "heronshift/codec.hpp"
+#include "heronshift/config.hpp"
+#include "heronshift/metrics/metrics.hpp"
 
+#include <cmath>
+#include <cstdio>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <limits>
 
 namespace heronshift::cli {
 namespace {
@@ -89,5 +95,132 @@
     EXPECT_EQ(violation(submission_schema, "[]").substr(0, 13), "the document:");
 }
 
+// A settings file with one thing wrong: the field is named, not just the file.
+TEST(Schema, OfTheSettingsNamesTheField) {
+    const Json address = "127.0.0.1:7000";
+    const Json team = {{"name", "red"}, {"cpus", 4}, {"cpus_max", 8}, {"gpus", 0}, {"gpus_max", 0}};
+    const Json settings = {
+        {"host_name", "berth-0"},
+        {"zone", "a"},
+        {"bind", address},
+        {"back", address},
+        {"others", {{{"host_name", "berth-1"}, {"zone", "b"}, {"peer_addr", address}}}},
+        {"external", {{"cloud", address}, {"state", address}}},
+        {"facts",
+         {{"zones", {"a", "b"}},
+          {"time_bound_ms", 250},
+          {"teams", {team}},
+          {"workers", {{"report_s", 1}, {"lease_s", 6.5}, {"gang_wait_s", 10}, {"gang_peer_s", 2}, {"cancel_s", 15}}},
+          {"state", {{"rps", 100}, {"write_rps", 40}, {"value_kb", 16}, {"txn_ops", 16}}},
+          {"cloud", {{"rps", 2}, {"list_lag_s", 5}}},
+          {"resources", {{"cores", 0.3}, {"mem_mb", 96}, {"fd_limit", 512}}},
+          {"later", "unknown fields are ignored"}}}};
+    EXPECT_EQ(violation(settings_schema, settings.dump()), "");
+    const std::vector<std::pair<const char*, Json>> wrong = {{"/facts/workers/report_s", "1"},
+                                                             {"/facts/workers/lease_s", 0},
+                                                             {"/facts/teams/0/cpus_max", -1},
+                                                             {"/facts/state/txn_ops", 3},
+                                                             {"/facts/resources/fd_limit", 10},
+                                                             {"/others/0/peer_addr", "nowhere"},
+                                                             {"/bind", 7000},
+                                                             {"/external/cloud", "127.0.0.1:"},
+                                                             {"/facts/zones", "a"},
+                                                             {"/host_name", ""},
+                                                             {"/facts/cloud/list_lag_s", nullptr}};
+    for (const auto& [at, value] : wrong) {
+        auto bad = settings;
+        bad[Json::json_pointer(at)] = value;
+        const auto said = violation(settings_schema, bad.dump());
+        std::string field(at);
+        field = field.substr(field.rfind('/') + 1);
+        EXPECT_NE(said.find(field), std::string::npos) << at << ": " << said;
+    }
+    for (const auto* gone : {"host_name", "external", "facts"}) {
+        auto bad = settings;
+        bad.erase(gone);
+        EXPECT_NE(violation(settings_schema, bad.dump()).find(gone), std::string::npos);
+    }
+}
+
+// The schema of the operators' settings and the file's reader know the same names and limits.
+TEST(Schema, OfTheOperatorsAgreesWithTheReader) {
+    const auto path = ::testing::TempDir() + "operators.sx";
+    const auto rules = Json::parse(operators_schema)["properties"];
+    const auto takes = [&](const std::string& text) {
+        std::ofstream(path) << text;
+        try {
+            load_operator_settings(path, 1);
+        } catch (const SettingsError&) {
+            return false;
+        }
+        return true;
+    };
+    const auto good = [&](const std::string& text) {
+        std::ofstream(path) << text;
+        return violation(operators_schema, operators_as_json(path)).empty();
+    };
+    EXPECT_EQ(rules.size(), 10U);
+    for (const auto& [name, rule] : rules.items()) {
+        EXPECT_TRUE(takes("(heronshift (" + name + " 1))") || name == "alpha" || name == "beta" || name == "gamma")
+            << name; // these three are held against each other
+        EXPECT_TRUE(good("(heronshift (" + name + " 1))")) << name;
+        for (const auto* bad : {"-1", "many", "(1)"}) {
+            const auto text = "(heronshift (" + name + " " + bad + "))";
+            EXPECT_FALSE(takes(text)) << text;
+            EXPECT_FALSE(good(text)) << text;
+        }
+        if (rule["type"] != "integer") continue;
+        EXPECT_FALSE(takes("(heronshift (" + name + " 1.5))")) << name;
+        EXPECT_FALSE(good("(heronshift (" + name + " 1.5))")) << name;
+    }
+    EXPECT_FALSE(takes("(heronshift (bath 3))"));
+    EXPECT_FALSE(good("(heronshift (bath 3))"));
+    std::remove(path.c_str());
+}
+
+TEST(Metrics, LatenciesFallIntoBins) {
+    metrics::Latency l;
+    EXPECT_EQ(l.quantile(0.5), 0);
+    for (const double s : {0.0, 0.0005, 0.0015, 0.0015, 0.3, 100.0, -1.0}) l.add(s);
+    l.add(std::numeric_limits<double>::quiet_NaN()); // none
+    EXPECT_EQ(l.count(), 7U);
+    EXPECT_NEAR(l.sum(), 100.3035, 1e-9);
+    const auto b = l.buckets();
+    EXPECT_NEAR(b.front().upto, 0.001, 1e-9);
+    EXPECT_EQ(b.front().count, 3U); // 0, 0.0005 and the one below zero
+    EXPECT_NEAR(b[1].upto, 0.002, 1e-9);
+    EXPECT_EQ(b[1].count, 5U);
+    EXPECT_EQ(b[b.size() - 2].count, 6U);
+    EXPECT_EQ(b.back().count, 7U);
+    EXPECT_NEAR(l.quantile(0.5), 0.002, 1e-9);
+}
+
+TEST(Metrics, TheFirstLaunchOfAJobCountsOnce) {
+    metrics::Latency l;
+    metrics::FirstLaunches f;
+    f.known("wk-1", 10);
+    f.known("wk-1", 11); // told again, by a follower
+    f.launched("wk-1", 12.5, l);
+    f.launched("wk-1", 20, l);
+    f.launched("wk-2", 20, l); // accepted before this term
+    EXPECT_EQ(l.count(), 1U);
+    EXPECT_DOUBLE_EQ(l.sum(), 2.5);
+    for (int i = 0; i < 5000; ++i) f.known(std::to_string(i), 30);
+    f.launched("0", 40, l); // forgotten: there is a bound
+    EXPECT_EQ(l.count(), 1U);
+    f.launched("4999", 40, l);
+    EXPECT_EQ(l.count(), 2U);
+}
+
+TEST(Metrics, AreTextThatMonitoringReads) {
+    metrics::Latency l;
+    l.add(0.0015);
+    const auto t = metrics::text({{"a_total", "things", 3}, {"b", "now", 0.5}}, {{"c_seconds", "took", "of", "x", &l}});
+    for (const auto* line : {"# HELP a_total things\n# TYPE a_total counter\na_total 3\n", "# TYPE b gauge\nb 0.5\n",
+                             "# TYPE c_seconds histogram\n", "c_seconds_count{of=\"x\"} 1\n",
+                             "c_seconds_bucket{of=\"x\",le=\"+Inf\"} 1\n"})
+        EXPECT_NE(t.find(line), std::string::npos) << line << "in\n" << t;
+}
+
 } // namespace
 } // namespace heronshift::cli
--- a/tests/test_local.cpp
+++ b/tests/test_local.cpp
@@ -2,6 +2,7 @@
 #include "heronshift/codec.hpp"
 #include "heronshift/local/cloud.hpp"
 #include "heronshift/local/history.hpp"
+#include "heronshift/local/stand_in.hpp"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
@@ -211,5 +212,36 @@
     EXPECT_EQ(r.tasks[0].state, TaskState::ended);
 }
 
+// What is held up arrives when nobody waits for the answer any more, and is judged then: by the fence and
+// the tenure of that moment.
+TEST_F(Wire, AHeldCommandIsJudgedWhenItArrives) {
+    rent();
+    platform->any()->late_until = platform->now() + 0.6;
+    int answered = 0, given_up = 0;
+    const auto send = [&](std::uint64_t fence, std::uint32_t index) {
+        client->request(machine, "POST", "/commands", codec::commands(fence, 1, {{Verb::launch, "wk-1", index, 1, 0}}),
+                        0.2, [&](HttpReply&& r) { ++(r.status == 0 && r.sent ? given_up : answered); });
+    };
+    send(7, 0);
+    send(6, 1); // of an earlier holder
+    while (given_up + answered < 2) {
+        uv_run(&loop, UV_RUN_ONCE);
+        client->sweep();
+    }
+    EXPECT_EQ(given_up, 2);
+    EXPECT_EQ(platform->sum().fence, 0U); // nothing has arrived
+    while (platform->sum().fence == 0) uv_run(&loop, UV_RUN_ONCE);
+    const auto r = command(7, 1, {});
+    ASSERT_EQ(r.tasks.size(), 1U);
+    EXPECT_EQ(r.tasks[0].index, 0U);
+}
+
+TEST(StandIn, AddressesAreReadOrRefused) {
+    EXPECT_EQ(address("127.0.0.1:0").port, 0);
+    EXPECT_EQ(address("10.0.0.1:65535").host, "10.0.0.1");
+    for (const auto* bad : {"", "x", ":7", "a:", "a:b", "a:65536", "a:-1", "a:7x"})
+        EXPECT_THROW(address(bad), SettingsError) << bad;
+}
+
 } // namespace
 } // namespace heronshift::local
