--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -7,6 +7,7 @@
 #include "heronshift/ledger/state.hpp"
 #include "heronshift/local/cloud.hpp"
 #include "heronshift/local/port.hpp"
+#include "heronshift/store/remote.hpp"
 #include "heronshift/store/server.hpp"
 
 #include <atomic>
@@ -367,6 +368,88 @@
     EXPECT_EQ(history.broken(), std::vector<std::string>{});
 }
 
+// The way to the state service, which can be cut for one copy alone.
+class Cut final : public store::StateStore {
+public:
+    Cut(uv_loop_t* loop, const Endpoint& at, const bool& cut)
+        : good_(loop, at), dead_(loop, {"127.0.0.1", 1}), cut_(cut) {}
+    void get(const std::string& k, double t, store::Callback d) override {
+        way().get(k, t, std::move(d));
+    }
+    void list(const std::string& u, const std::string& s, int n, double t, store::Callback d) override {
+        way().list(u, s, n, t, std::move(d));
+    }
+    void transact(const std::vector<codec::Guard>& g, const std::vector<codec::Write>& w, double t,
+                  store::Callback d) override {
+        way().transact(g, w, t, std::move(d));
+    }
+    void hold(double ttl, double t, store::Callback d) override {
+        way().hold(ttl, t, std::move(d));
+    }
+    void extend(std::uint64_t h, double t, store::Callback d) override {
+        way().extend(h, t, std::move(d));
+    }
+    void end_hold(std::uint64_t h, double t, store::Callback d) override {
+        way().end_hold(h, t, std::move(d));
+    }
+    void follow(const std::string& u, std::uint64_t s, double b, store::Callback d) override {
+        way().follow(u, s, b, std::move(d));
+    }
+    void sweep() override {
+        good_.sweep();
+        dead_.sweep();
+    }
+
+private:
+    store::RemoteStore& way() {
+        return cut_ ? dead_ : good_;
+    }
+    store::RemoteStore good_, dead_;
+    const bool& cut_;
+};
+
+// Of two copies the acting one alone loses the store: it ends acting by its own clock, before the other can
+// begin, and does not come back between.
+TEST_F(Embedded, ACopyCutFromTheStoreMakesWayForTheOther) {
+    auto service = state_service();
+    bool cut = false;
+    auto o = on(*service);
+    o.state = [&](uv_loop_t* l) { return std::make_unique<Cut>(l, o.settings.state, cut); };
+    Scheduler one(&loop, o);
+    ASSERT_TRUE(until([&] { return one.acts(); }));
+    auto second = on(*service);
+    second.settings.name = "other";
+    Scheduler two(&loop, second);
+    const std::vector<std::string> addresses{fmt::format("127.0.0.1:{}", one.port()),
+                                             fmt::format("127.0.0.1:{}", two.port())};
+    platform->report_to({{"copy", addresses[0]}, {"other", addresses[1]}});
+    Users users(*this, addresses, 14);
+    bool both = false;
+    const auto watch = [&] {
+        both = both || (one.acts() && two.acts());
+        return users.serve();
+    };
+    ASSERT_TRUE(until([&] { return watch(), history.starts() > 0; }));
+    cut = true;
+    ASSERT_TRUE(until([&] { return watch(), two.acts(); }));
+    EXPECT_FALSE(one.acts());
+    // A report that it took would renew a lease which the other counts as running out.
+    HttpClient worker(&loop, 1, 4);
+    int status = 0;
+    const Report report{"n-000001", "127.0.0.1:1", "m8", "a", false, 1, 1000, 0, -1, {}};
+    worker.request(addresses[0], "POST", std::string(codec::path_report), codec::to_body(report), 5,
+                   [&](HttpReply&& r) { status = r.status; });
+    ASSERT_TRUE(until([&] { return watch(), status != 0; }));
+    EXPECT_TRUE(status == 503 || status == 421) << status;
+    ASSERT_TRUE(until([&] { return watch(), history.starts() > 5; }));
+    cut = false;
+    EXPECT_TRUE(until(watch));
+    EXPECT_TRUE(two.acts());
+    EXPECT_FALSE(both);
+    EXPECT_EQ(history.broken(), std::vector<std::string>{});
+    EXPECT_TRUE(history.unfinished().empty());
+}
+
 // The state service is out, then silent, for longer than the hold: nothing is told that is not stored, the
 // caller is sent away, and all goes on when it is back.
 TEST_F(Embedded, ACopyThatLosesItsStoreStopsActingAndGoesOnLater) {
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -282,6 +282,34 @@
     EXPECT_NE(s.get("a").status, 0);
 }
 
+// A holder acts until its hold's time is over by its own clock, so a hold must not end a moment sooner,
+// whoever looks. (Shortened holds were caught by no other story.)
+TEST(Holds, LiveTheirWholeTimeAndNoLonger) {
+    const auto path = file_name();
+    for (const bool in_file : {false, true}) {
+        remove_file(path);
+        Engine e(in_file ? file_data(path) : memory_data(), Limits{});
+        const auto held = [&](std::int64_t now) {
+            e.data().begin();
+            e.expire(now);
+            const auto status = e.get("office", now).status;
+            e.data().commit();
+            return status == 200;
+        };
+        e.data().begin();
+        const auto hold = e.hold(1000, 5000).lease;
+        ASSERT_EQ(e.transact({}, {{"office", Json("us"), hold}}, 5000).status, 200);
+        e.data().commit();
+        EXPECT_TRUE(held(5999));
+        e.data().begin();
+        EXPECT_EQ(e.extend(hold, 5999).status, 200); // counted from here
+        e.data().commit();
+        EXPECT_TRUE(held(6998));
+        EXPECT_FALSE(held(7001));
+    }
+    remove_file(path);
+}
+
 // --- files
 
 std::unique_ptr<StateStore> open_file(Loop& l, const std::string& path) {
