Many may create a state file at once; passes rarer while very much waits

With 100,000 stored jobs a start took 4.7 s, once 39 s: passes over all that waits followed each other, and the office was lost for want of renewals. Below 2,000 waiting nothing is decided otherwise.

--- a/include/heronshift/ledger/ledger.hpp
+++ b/include/heronshift/ledger/ledger.hpp
@@ -94,6 +94,10 @@
         ++try_seq_;
     }
 
+    [[nodiscard]] std::uint64_t passes() const {
+        return try_seq_;
+    }
+
     // What is due: orders to machines, questions, reads of the store.
     void send_due_orders();
     void find_needs();
--- a/include/heronshift/policies/placement.hpp
+++ b/include/heronshift/policies/placement.hpp
@@ -11,6 +11,9 @@
 public:
     Placement(const State& view, ledger::Proposals& out) : v_(view), s_(view.settings), out_(out) {}
     void schedule();
+    [[nodiscard]] std::size_t waiting() const { // jobs, at the last pass
+        return waiting_;
+    }
     void drain_noticed(); // work on machines that are taken back
     void find_slow();
 
@@ -36,6 +39,7 @@
     const State& v_;
     const Settings& s_;
     ledger::Proposals& out_;
+    std::size_t waiting_ = 0;
     double next_slow_ = 0;
 };
 
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -5,6 +5,8 @@
 namespace heronshift {
 namespace {
 
+constexpr double jobs_a_pass = 2000; // waiting ones, that a pass in every sixtieth of report_s is for
+
 template <class... F> struct Each : F... { using F::operator()...; };
 
 } // namespace
@@ -57,9 +59,12 @@
     // A pass over what waits costs time: events gather for a moment first.
     if (ledger_.dirty() && now >= next_schedule_) {
         ledger_.settled();
-        next_schedule_ = now + s_.report_s / 60;
         ledger_.next_pass();
         placement_.schedule();
+        // A pass looks at all that waits. With a hundred thousand jobs, passes that followed each other at
+        // once took the whole loop, and the office was lost for want of renewals.
+        const double load = static_cast<double>(placement_.waiting()) / jobs_a_pass;
+        next_schedule_ = now + s_.report_s / 60 * std::max(1.0, load);
     }
     if (now >= next_rent_) {
         next_rent_ = now + s_.report_s / 3;
@@ -116,6 +121,7 @@
             {"heronshift_lost_total", "tasks lost with their machine in this term", of(n.lost)},
             {"heronshift_preempted_total", "tasks stopped for others in this term", of(n.preempted)},
             {"heronshift_moved_total", "tasks moved in this term", of(n.moved)},
+            {"heronshift_passes_total", "of placement over all that waits, in this term", of(ledger_.passes())},
             {"heronshift_commits_total", "transactions in this term", of(records_.committed_count())}};
 }
 
--- a/src/policies/common.cpp
+++ b/src/policies/common.cpp
@@ -74,30 +74,35 @@
 }
 
 std::vector<const Job*> waiting_jobs(const State& v, Resources& shape) {
-    std::vector<const Job*> out;
+    // Among equals the job with the least work left goes first, since that brings the most jobs home
+    // in time; having waited counts against it, so that large ones get their turn.
+    struct Waiting {
+        const Job* job;
+        double key;
+    };
+    std::vector<Waiting> list;
     double most = 0;
     for (const auto& [id, j] : v.jobs) {
         if (j->final != Final::none || j->pending.empty() || v.now < j->not_before) continue;
-        out.push_back(j.get());
+        list.push_back({j.get(), v.work_left(*j) / (std::max(1.0, j->spec.estimate_s) + v.now - j->ready)});
         const double weight = static_cast<double>(j->pending.size());
         if (weight > most) {
             most = weight;
             shape = j->spec.each;
         }
     }
-    // Among equals the job with the least work left goes first, since that brings the most jobs home
-    // in time; having waited counts against it, so that large ones get their turn.
-    std::unordered_map<const Job*, double> key;
-    for (const auto* j : out) key[j] = v.work_left(*j) / (std::max(1.0, j->spec.estimate_s) + v.now - j->ready);
-    std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
+    std::sort(list.begin(), list.end(), [](const Waiting& x, const Waiting& y) {
+        const auto &a = *x.job, &b = *y.job;
         // What may take the place of others goes first, or it would stop them and lose the room.
-        if (a->rank != b->rank) return a->rank < b->rank;
-        if (a->guaranteed != b->guaranteed) return a->guaranteed;
-        const double ka = key[a], kb = key[b];
-        if (ka != kb) return ka < kb;
-        if (a->ready != b->ready) return a->ready < b->ready;
-        return a->spec.id < b->spec.id;
+        if (a.rank != b.rank) return a.rank < b.rank;
+        if (a.guaranteed != b.guaranteed) return a.guaranteed;
+        if (x.key != y.key) return x.key < y.key;
+        if (a.ready != b.ready) return a.ready < b.ready;
+        return a.spec.id < b.spec.id;
     });
+    std::vector<const Job*> out;
+    out.reserve(list.size());
+    for (const auto& w : list) out.push_back(w.job);
     return out;
 }
 
--- a/src/policies/placement.cpp
+++ b/src/policies/placement.cpp
@@ -297,6 +297,7 @@
     choose_pool();
     auto shape = v_.common_shape;
     const auto jobs = waiting_jobs(v_, shape);
+    waiting_ = jobs.size();
     out_.set_common_shape(shape);
     struct Failed {
         Resources each;
--- a/src/store/file_data.cpp
+++ b/src/store/file_data.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <sqlite3.h>
 #include <sys/stat.h>
+#include <thread>
 #include <unistd.h>
 
 namespace heronshift::store {
@@ -274,11 +275,14 @@
         sqlite3_extended_result_codes(db_, 0);
         sqlite3_busy_timeout(db_, static_cast<int>(options.busy_wait_s * 1000));
         const int newest = options.schema > 0 ? options.schema : file_schema;
+        // At one moment: between two, another process may have made the file its and our own.
+        run("BEGIN");
         const auto owner = ask("PRAGMA application_id");
         const auto tables = ask("SELECT count(*) FROM sqlite_master");
+        const auto schema = ask("PRAGMA user_version");
+        run("COMMIT");
         if (owner != application && (owner != 0 || tables != 0))
             throw StoreError(fmt::format("{}: a database of another program", path_));
-        const auto schema = ask("PRAGMA user_version");
         if (schema > static_cast<std::uint64_t>(file_schema))
             throw StoreError(fmt::format("{}: written by a newer version (schema {}, this one knows {})", path_, schema,
                                          file_schema));
@@ -286,7 +290,7 @@
             Statement q(db_, path_, "PRAGMA quick_check(1)");
             if (!q.row() || q.text(0) != "ok") throw StoreError(fmt::format("{}: damaged: {}", path_, q.text(0)));
         }
-        run("PRAGMA journal_mode=WAL");
+        to_wal(options.busy_wait_s);
         run(options.fsync ? "PRAGMA synchronous=FULL" : "PRAGMA synchronous=OFF");
         run("BEGIN IMMEDIATE");
         try {
@@ -307,6 +311,18 @@
         device_ = s.st_dev;
     }
 
+    // SQLite does not wait by itself here, where another process is about to do the same.
+    void to_wal(double wait_s) {
+        constexpr auto pause = std::chrono::milliseconds(5);
+        const auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(wait_s);
+        for (;;) {
+            const int e = sqlite3_exec(db_, "PRAGMA journal_mode=WAL", nullptr, nullptr, nullptr);
+            if (e == SQLITE_OK) return;
+            if (e != SQLITE_BUSY || std::chrono::steady_clock::now() >= end) fail();
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
     // The clock that holds end by began anew.
     void renew_after_boot() {
         const auto boot = boot_id();
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -523,6 +523,23 @@
     }
     platform->report_to(names);
     Users users(*this, addresses, 40);
+    // Both are there before the first is frozen: one that is frozen while it makes the file keeps the other from
+    // starting, which then says so and ends.
+    std::size_t up = 0;
+    HttpClient probe(&loop, 1, 4);
+    std::vector<bool> answers(2), asked(2);
+    ASSERT_TRUE(until([&] {
+        for (std::size_t i = 0; i < 2; ++i)
+            if (!answers[i] && !asked[i]) {
+                asked[i] = true;
+                probe.request(addresses[i], "GET", "/metrics", "", 5, [&, i](HttpReply&& r) {
+                    asked[i] = false;
+                    answers[i] = r.status == 200;
+                    up += answers[i];
+                });
+            }
+        return up == 2;
+    }));
     for (int k = 0; k < 8; ++k) {
         kill(copies[static_cast<std::size_t>(k % 2)], SIGSTOP);
         const double on = platform->now() + std::uniform_real_distribution<double>(0.3, 1.8)(rng);
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -5,15 +5,19 @@
 #include "heronshift/store/remote.hpp"
 #include "heronshift/store/server.hpp"
 
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <fmt/format.h>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <mutex>
 #include <random>
+#include <set>
 #include <sqlite3.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 namespace heronshift::store {
@@ -344,6 +348,34 @@
     FileStore& operator=(const FileStore&) = delete;
 };
 
+// Several programs are started at once on a file that is yet to be made. (One of them was told now and then
+// that the file was locked, or another program's, and ended.)
+TEST_F(FileStore, ManyMayCreateItAtOnce) {
+    constexpr int rounds = 40, openers = 8;
+    std::atomic<int> opened = 0;
+    std::mutex lock;
+    std::set<std::string> said;
+    for (int r = 0; r < rounds; ++r) {
+        remove_file(path);
+        std::vector<std::thread> list;
+        std::atomic<bool> go = false;
+        for (int n = 0; n < openers; ++n)
+            list.emplace_back([&] {
+                while (!go) std::this_thread::yield();
+                const auto why = why_not(path);
+                const std::lock_guard l(lock);
+                if (why == "opened")
+                    ++opened;
+                else
+                    said.insert(why);
+            });
+        go = true;
+        for (auto& t : list) t.join();
+    }
+    EXPECT_EQ(said, std::set<std::string>{});
+    EXPECT_EQ(opened, rounds * openers);
+}
+
 TEST_F(FileStore, TwoProcessesSeeEachOther) {
     Loop l;
     auto one = open_file(l, path), two = open_file(l, path);
