--- a/include/heronshift/store/server.hpp
+++ b/include/heronshift/store/server.hpp
@@ -10,7 +10,7 @@
 
 class StoreServer {
 public:
-    enum class Mood : std::uint8_t { well, out, silent };
+    enum class Mood : std::uint8_t { well, out, busy, silent }; // 503, 429, no answer
     StoreServer(uv_loop_t* loop, std::unique_ptr<Engine> engine);
     StoreServer(const StoreServer&) = delete;
     StoreServer& operator=(const StoreServer&) = delete;
--- a/src/local/local.cpp
+++ b/src/local/local.cpp
@@ -327,7 +327,7 @@
         if (!o_.faults || t < next_fault_ || t > o_.seconds) return;
         next_fault_ = t + fault_every_s * between(0.6, 1.4);
         auto* w = platform_->any();
-        switch (std::uniform_int_distribution<int>(0, 8)(rng_)) {
+        switch (std::uniform_int_distribution<int>(0, 9)(rng_)) {
         case 0:
         case 1: {
             auto& c = nodes_[rng_() % nodes_.size()];
@@ -362,6 +362,11 @@
             say(fmt::format("trouble: {} is cut off", w->listed(0).id));
             w->cut_until = platform_->now() + between(1, 2 * lease_s);
             break;
+        case 8:
+            say("trouble: the state service has too much to do (429)");
+            store_->set_mood(store::StoreServer::Mood::busy);
+            store_well_at_ = t + between(1, 4);
+            break;
         case 7:
             if (w == nullptr) return;
             say(fmt::format("trouble: what {} and its controller say is held up", w->listed(0).id));
--- a/src/store/server.cpp
+++ b/src/store/server.cpp
@@ -80,6 +80,7 @@
         return;
     }
     if (mood_ == Mood::out) return res.send(503, R"({"error":"trouble"})");
+    if (mood_ == Mood::busy) return res.send(429, R"({"error":"too many requests"})", 1);
     const auto now = now_ms();
     engine_->expire(now);
     const auto bad = [&](const char* what) { res.send(400, error_of({400, true, what, 0, 0, {}, {}, false, {}})); };
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -278,6 +278,9 @@
     usleep(400'000); // longer than the hold
     r.server->set_mood(StoreServer::Mood::well);
     EXPECT_EQ(s.get("a").status, 200); // it has its full time again
+    r.server->set_mood(StoreServer::Mood::busy);
+    EXPECT_EQ(s.get("a").status, 429);
+    EXPECT_EQ(s.extend(h.lease).status, 429);
     r.server->set_mood(StoreServer::Mood::silent);
     const auto silent = r.loop.ask(*r.store, [](auto& x, auto d) { x.get("a", 0.1, d); });
     EXPECT_EQ(silent.status, 0);
