--- a/tests/test_same.cpp
+++ b/tests/test_same.cpp
@@ -1,7 +1,7 @@
 // The library and the daemon decide the same: one stream of jobs, once to a Scheduler whose executor and
-// store are objects in its own process, once to three controllers over HTTP on loopback with a state
-// service and an agent on every machine. Time passes in steps, all that is under way arrives before the
-// next, and every launch is compared.
+// store are objects in its own process, once to three controllers over HTTP on loopback (in this process, and as
+// processes) with a state service and an agent on every machine. Time passes in steps, all that is under way arrives
+// before the next, and every launch is compared.
 #include "heronshift/codec.hpp"
 #include "heronshift/embed/scheduler.hpp"
 #include "heronshift/local/cloud.hpp"
@@ -11,9 +11,16 @@
 #include "heronshift/store/server.hpp"
 
 #include <algorithm>
+#include <atomic>
+#include <csignal>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <random>
+#include <spdlog/spdlog.h>
+#include <sys/mman.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 namespace heronshift {
 namespace {
@@ -244,13 +251,16 @@
     std::unique_ptr<Scheduler> scheduler;
 };
 
-struct Daemons final : World {
+// Three controllers, asked in turn over HTTP on loopback; who runs them is for those below.
+struct OverHttp : World {
     static constexpr int count = 3;
-    explicit Daemons(const OperatorSettings& ops) : World(ops) {
+    explicit OverHttp(const OperatorSettings& ops) : World(ops) {
         state = std::make_unique<store::StoreServer>(
             &loop, std::make_unique<store::Engine>(store::memory_data(), store::Limits{}));
         EXPECT_EQ(state->start({"127.0.0.1", 0}), 0);
-        for (int i = 0; i < count; ++i) plan.workers.nodes.emplace_back(name(i), address(ports[i].number()));
+        const auto name = [](int i) { return fmt::format("berth-{}", i); };
+        for (int i = 0; i < count; ++i)
+            plan.workers.nodes.emplace_back(name(i), fmt::format("127.0.0.1:{}", ports[i].number()));
         make_platform();
         EXPECT_EQ(platform->start({"127.0.0.1", 0}), 0);
         for (int i = 0; i < count; ++i) {
@@ -262,33 +272,21 @@
                 if (k != i) mine.peers.push_back({name(k), "a", {"127.0.0.1", peer_ports[k].number()}});
             mine.state = {"127.0.0.1", state->port()};
             mine.cloud = {"127.0.0.1", platform->port()};
-            nodes.push_back(std::make_unique<Node>(&loop, mine, Node::Parts{{}, {}, clock}));
-            EXPECT_EQ(nodes.back()->start(), 0);
+            settings.push_back(std::move(mine));
         }
     }
-    ~Daemons() override {
-        for (auto& n : nodes) n->stop();
-        nodes.clear();
+    void end_all() {
         state.reset();
         users.reset();
         end();
     }
-    static std::string name(int i) {
-        return fmt::format("berth-{}", i);
-    }
-    static std::string address(int port) {
-        return fmt::format("127.0.0.1:{}", port);
-    }
-    void turn() override {
-        for (auto& n : nodes) n->turn();
-        state->poll();
-    }
     std::uint64_t messages() override {
-        return answered + state->requests();
+        return answered + state->requests() + (asked > heard_of ? ++waiting : 0); // not quiet while a user waits
     }
     void ask(const char* method, const std::string& path, std::string body, Told told) {
         const auto& to = plan.workers.nodes[static_cast<std::size_t>(asked++ % count)].second;
-        users->request(to, method, path, std::move(body), 60, [told = std::move(told)](HttpReply&& r) {
+        users->request(to, method, path, std::move(body), 60, [this, told = std::move(told)](HttpReply&& r) {
+            ++heard_of;
             const auto a = r.status == 200 || r.status == 201 ? codec::job_answer_of(r.body) : std::nullopt;
             told(r.status, a ? a->status : "");
         });
@@ -303,10 +301,98 @@
         ask("POST", fmt::format("{}/{}/{}", codec::path_jobs, id, codec::suffix_cancel), "{}", std::move(told));
     }
     local::Port ports[count], peer_ports[count];
+    std::vector<Settings> settings;
     std::unique_ptr<HttpClient> users = std::make_unique<HttpClient>(&loop, 8, 512);
     std::unique_ptr<store::StoreServer> state;
+    std::uint64_t asked = 0, heard_of = 0, waiting = 0;
+};
+
+struct Daemons final : OverHttp {
+    explicit Daemons(const OperatorSettings& ops) : OverHttp(ops) {
+        for (const auto& mine : settings) {
+            nodes.push_back(std::make_unique<Node>(&loop, mine, Node::Parts{{}, {}, clock}));
+            EXPECT_EQ(nodes.back()->start(), 0);
+        }
+    }
+    ~Daemons() override {
+        for (auto& n : nodes) n->stop();
+        nodes.clear();
+        end_all();
+    }
+    void turn() override {
+        for (auto& n : nodes) n->turn();
+        state->poll();
+    }
     std::vector<std::unique_ptr<Node>> nodes;
-    std::uint64_t asked = 0;
+};
+
+// The same three as processes of their own. What they share with the test is the time, and how often each
+// has turned, so that the test knows when all is quiet.
+struct Processes final : OverHttp {
+    struct Shared {
+        std::atomic<double> now{0};
+        std::atomic<std::uint64_t> turns[count]{};
+    };
+    class SharedSteps final : public Clock {
+    public:
+        explicit SharedSteps(const Shared& s) : s_(s) {}
+        [[nodiscard]] double now() const override {
+            return s_.now;
+        }
+        [[nodiscard]] double wall() const override {
+            return 1.7e9 + s_.now;
+        }
+
+    private:
+        const Shared& s_;
+    };
+    explicit Processes(const OperatorSettings& ops) : OverHttp(ops) {
+        shared =
+            new (::mmap(nullptr, sizeof(Shared), PROT_READ | PROT_WRITE, MAP_SHARED | MAP_ANONYMOUS, -1, 0)) Shared;
+        shared->now = clock->at;
+        for (int i = 0; i < count; ++i) {
+            const pid_t child = fork();
+            if (child == 0) serve(i);
+            children.push_back(child);
+        }
+    }
+    ~Processes() override {
+        for (const auto c : children) {
+            kill(c, SIGKILL);
+            int status = 0;
+            waitpid(c, &status, 0);
+            EXPECT_TRUE(WIFSIGNALED(status)); // none had ended by itself
+        }
+        end_all();
+        ::munmap(shared, sizeof(Shared));
+    }
+    [[noreturn]] void serve(int i) {
+        close_range(3, ~0U, 0); // the parent's sockets
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        spdlog::set_level(spdlog::level::off);
+        uv_loop_t own;
+        uv_loop_init(&own);
+        Node node(&own, settings[static_cast<std::size_t>(i)],
+                  Node::Parts{{}, {}, std::make_shared<SharedSteps>(*shared)});
+        if (node.start() != 0) _exit(1);
+        for (;;) {
+            node.turn();
+            uv_run(&own, UV_RUN_NOWAIT);
+            ++shared->turns[i];
+            usleep(20);
+        }
+    }
+    void turn() override { // until each has turned once more as a whole
+        shared->now = clock->at;
+        std::uint64_t before[count];
+        for (int i = 0; i < count; ++i) before[i] = shared->turns[i];
+        const auto give_up = uv_hrtime() + 60'000'000'000ULL;
+        for (int i = 0; i < count; ++i)
+            while (shared->turns[i] < before[i] + 2 && uv_hrtime() < give_up) usleep(10);
+        state->poll();
+    }
+    Shared* shared = nullptr;
+    std::vector<pid_t> children;
 };
 
 std::string first_difference(const Outcome& a, const Outcome& b) {
@@ -338,6 +424,17 @@
     EXPECT_EQ(first_difference(library, daemons), "");
 }
 
+TEST(SameProcesses, TheLibraryPlacesAsThreeProcessesDo) {
+    constexpr unsigned seed = 412;
+    const auto jobs = stream(seed, jobs_a_stream);
+    const auto library = Library({}).run(jobs);
+    const auto daemons = Processes({}).run(jobs);
+    std::cout << fmt::format("seed {}: {} launches\n", seed, library.launches.size());
+    expect_whole(daemons);
+    EXPECT_GT(library.launches.size(), 3U * jobs_a_stream);
+    EXPECT_EQ(first_difference(library, daemons), "");
+}
+
 // So that the comparison above can fail: another weight in the payoff must show in it.
 TEST_P(Same, AnotherPayoffShows) {
     const auto jobs = stream(GetParam(), jobs_a_stream);
