Node parted: office, gateway, agents, cloud, peers; a controller without a loop

Change: office/ (tenancy, hold, round, transactions, reader), gateway/ (users), agents/ (machines), cloud/ (the cloud's budget), peers/ (a seam to other controllers), node/Controller (queue, core and wiring, driven by whoever has a clock) and node/Node (libuv).

--- a/apps/heronshift/main.cpp
+++ b/apps/heronshift/main.cpp
@@ -4,7 +4,7 @@
 #include "heronshift/config.hpp"
 #include "heronshift/local/local.hpp"
 #include "heronshift/local/stand_in.hpp"
-#include "heronshift/node.hpp"
+#include "heronshift/node/node.hpp"
 #include "heronshift/replay/command_log.hpp"
 #include "heronshift/store/file_data.hpp"
 #include "heronshift/store/local.hpp"
--- a/include/heronshift/codec.hpp
+++ b/include/heronshift/codec.hpp
@@ -67,6 +67,8 @@
 std::string orders(std::uint64_t fence, const std::vector<Order>& list);
 std::string commands(std::uint64_t fence, std::uint64_t tenure, const std::vector<Order>& list);
 std::string redirect(const std::string& node);
+std::string error_answer(const std::string& what);
+inline constexpr const char* not_now = R"({"error":"not now, try again"})";
 // The worker's side, for stand-ins.
 std::string to_body(const Report& r);
 struct Orders {
--- /dev/null
+++ b/include/heronshift/gateway/gateway.hpp
@@ -0,0 +1,103 @@
+// What users ask: accept, look up, cancel, and pass on what only the holder can answer.
+//
+// Owns: the answers still owed to users, what it remembers of accepted jobs, the budgets of reads and
+// submissions. May call the store, the peers and, where this node acts, the core's view through its Host;
+// never the office or a machine. Knows nothing of holds: its Host says whether this node acts.
+#pragma once
+
+#include "heronshift/budget.hpp"
+#include "heronshift/core/core.hpp"
+#include "heronshift/later.hpp"
+#include "heronshift/metrics/timings.hpp"
+#include "heronshift/peers/peers.hpp"
+#include "heronshift/store/store.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace heronshift::gateway {
+
+inline constexpr int retry_soon_s = 1;
+
+class Gateway {
+public:
+    class Host {
+    public:
+        virtual ~Host() = default;
+        // The core, while this node may answer from its memory and decide; else none.
+        [[nodiscard]] virtual const Core* acting() const = 0;
+        [[nodiscard]] virtual const std::string& holder() const = 0; // a hint, may be empty
+        [[nodiscard]] virtual const std::vector<MachineType>& types() const = 0;
+        virtual void push(Command c) = 0;       // to the core
+        virtual void stored(JobStored&& j) = 0; // a job was accepted here
+    };
+    Gateway(const Settings& s, Later& later, store::StateStore& store, Peers& peers, metrics::Timings& took,
+            Host& host);
+
+    // A path of /v2/runs. passed_on: by another controller, so it is not passed on again.
+    void serve(HttpRequest&& r, Responder res, bool passed_on);
+    void tick();
+    void left_office(); // nothing that was asked of the core is answered by it any more
+
+    // From the core.
+    void answered(const CancelAnswer& a);
+    void find(const std::string& id, std::function<void(JobFound&&)> done);
+
+private:
+    void submit(HttpRequest&& r, Responder res, bool passed_on);
+    void poll(const std::string& id, Responder res, bool passed_on);
+    void cancel(const std::string& id, HttpRequest&& r, Responder res, bool passed_on);
+    void ask_core_to_cancel(const std::string& id, Responder res);
+    void pass_on(HttpRequest&& r, Responder res, std::function<void(Responder)> otherwise);
+    // Fresh reads: the final state if there is one, else whether the job was accepted.
+    struct Found {
+        bool known = false;   // the store has answered
+        std::string status;   // empty: never accepted
+        bool service = false; // if its final state says so
+        std::optional<codec::Item> job;
+    };
+    void look_up(const std::string& id, std::function<void(Found)> done);
+    // A submission that is checked, or on its way to the store.
+    struct Submission {
+        JobSpec spec;
+        HttpRequest request;
+        Responder res;
+        bool passed_on = false;
+        double since = 0;
+        std::size_t next_need = 0;
+        int tries = 0;
+    };
+    using Open = std::shared_ptr<Submission>;
+    void check_needs(const Open& s);
+    void accept(const Open& s);
+    void store_job(const Open& s);
+    void stored(const Open& s, store::Answer&& r, double at, double began);
+    void refuse_unless_known(const std::string& id, int status, const std::string& why, const Responder& res);
+    void remember_accepted(const std::string& id);
+    [[nodiscard]] std::string impossible(const JobSpec& s) const;
+
+    const Settings& s_;
+    Later& later_;
+    store::StateStore& store_;
+    Peers& peers_;
+    metrics::Timings& took_;
+    Host& host_;
+    RateBudget reads_, submissions_;
+    std::size_t lookups_ = 0; // under way
+    std::uint64_t handle_seq_ = 0, generation_ = 0;
+    struct Cancel {
+        Responder res;
+        std::string id;
+        double since = 0;
+    };
+    std::map<std::uint64_t, Cancel> cancels_;
+    std::unordered_set<std::string> accepted_;
+    std::deque<std::string> accepted_order_;
+};
+
+} // namespace heronshift::gateway
--- /dev/null
+++ b/include/heronshift/metrics/timings.hpp
@@ -0,0 +1,14 @@
+// What the parts of one controller count and time, in one place, for /metrics.
+#pragma once
+
+#include "heronshift/metrics/metrics.hpp"
+
+namespace heronshift::metrics {
+
+struct Timings {
+    Latency submit, report, commit, step, launch;
+    FirstLaunches first_launches;
+    std::uint64_t requests = 0, refused = 0;
+};
+
+} // namespace heronshift::metrics
--- /dev/null
+++ b/include/heronshift/node/controller.hpp
@@ -0,0 +1,119 @@
+// One controller without a loop of its own: the queue of commands for the core, and the parts that
+// commands come from and effects go to. Whoever drives it (Node on libuv; the tests' world) calls tick()
+// some thirty times in report_s, and wake() when wake_at() has come and after anything was handed in.
+//
+// Owns: the queue, the core while this node holds the office, the parts and their wiring. Decides nothing:
+// who may act is the office's, what may be done the ledger's.
+#pragma once
+
+#include "heronshift/agents/desk.hpp"
+#include "heronshift/cloud/cloud_desk.hpp"
+#include "heronshift/core/core.hpp"
+#include "heronshift/gateway/gateway.hpp"
+#include "heronshift/office/office.hpp"
+#include "heronshift/replay/command_log.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace heronshift {
+
+class Controller final : office::Office::Host, gateway::Gateway::Host, agents::Desk::Host, cloud::CloudDesk::Host {
+public:
+    struct Parts { // all are needed
+        std::unique_ptr<store::StateStore> state;
+        std::unique_ptr<Executor> executor;
+        std::unique_ptr<Peers> peers;
+        std::shared_ptr<const Clock> clock;
+    };
+    Controller(Settings settings, Parts parts);
+
+    // Records what goes into the core from its next term on, see replay/command_log.hpp.
+    void record(std::unique_ptr<replay::CommandLog> log) {
+        log_ = std::move(log);
+    }
+    void start();
+    void stop(); // gives the office up
+    void tick();
+    void wake(); // what has become due; then the core takes what has gathered
+    [[nodiscard]] double wake_at() const;
+    std::function<void()> on_wake_at; // it may have become sooner
+    void run_core();
+
+    // A request of a user or a worker; one that a peer sends, its path with /peer.
+    void serve(HttpRequest&& r, Responder res);
+    void serve_peer(HttpRequest&& r, Responder res);
+
+    [[nodiscard]] const Settings& settings() const {
+        return s_;
+    }
+    [[nodiscard]] Later& later() {
+        return later_;
+    }
+    [[nodiscard]] store::StateStore& state() {
+        return *store_;
+    }
+    // Until when, by its clock, this node may act if it hears nothing more; 0: it may not.
+    [[nodiscard]] double acts_until() const {
+        return office_.acts_until();
+    }
+    [[nodiscard]] const Core* core() const { // while it holds the office
+        return core_.get();
+    }
+
+private:
+    // What the parts ask of each other goes through here.
+    void entered(std::uint64_t term, Snapshot&& stored) override;
+    void left() override;
+    void jobs_seen(std::vector<codec::StoredJob>&& jobs) override;
+    void committed(TxnOutcome outcome) override;
+    [[nodiscard]] std::size_t machines_up() const override {
+        return core_ ? core_->machines_up() : 0;
+    }
+    [[nodiscard]] const Core* acting() const override {
+        return office_.valid() ? core_.get() : nullptr;
+    }
+    [[nodiscard]] bool acts() const override {
+        return acting() != nullptr;
+    }
+    [[nodiscard]] bool held() const override {
+        return office_.held();
+    }
+    [[nodiscard]] const std::string& holder() const override {
+        return office_.holder();
+    }
+    [[nodiscard]] const std::vector<MachineType>& types() const override {
+        return cloud_.types();
+    }
+    void worker_heard() override {
+        office_.worker_heard();
+    }
+    void stored(JobStored&& j) override;
+    void push(Command c) override;
+
+    void serve(HttpRequest&& r, Responder res, bool passed_on);
+    void perform(Effect& e);
+    [[nodiscard]] std::string metrics() const;
+
+    const Settings s_;
+    std::shared_ptr<const Clock> clock_;
+    Later later_;
+    metrics::Timings took_;
+    std::unique_ptr<store::StateStore> store_;
+    std::unique_ptr<Executor> executor_;
+    std::unique_ptr<Peers> peers_;
+    office::Office office_;
+    gateway::Gateway gateway_;
+    agents::Desk desk_;
+    cloud::CloudDesk cloud_;
+
+    std::unique_ptr<Core> core_;
+    std::uint64_t life_ = 0; // of the core: answers for an earlier one are dropped
+    std::vector<Command> queue_;
+    bool running_core_ = false;
+    std::unique_ptr<replay::CommandLog> log_;
+};
+
+} // namespace heronshift
--- /dev/null
+++ b/include/heronshift/node/node.hpp
@@ -0,0 +1,75 @@
+// A controller on a libuv loop: its servers, clients and timers.
+#pragma once
+
+#include "heronshift/http.hpp"
+#include "heronshift/node/controller.hpp"
+
+#include <memory>
+
+namespace heronshift {
+
+class Node {
+public:
+    // What is left out is the daemon's: the state service and the cloud that the settings name, the peers
+    // over HTTP, and the system's time.
+    using Parts = Controller::Parts;
+    Node(uv_loop_t* loop, Settings settings, Parts parts);
+    Node(uv_loop_t* loop, Settings settings) : Node(loop, std::move(settings), Parts{}) {}
+    ~Node();
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+
+    void record(std::unique_ptr<replay::CommandLog> log) {
+        controller_.record(std::move(log));
+    }
+    // Listens, unless the settings name no host to listen at. 0 or a libuv error.
+    int start();
+    void stop();
+    // All that is due by the clock: for one whose time does not pass by itself.
+    void turn() {
+        tick();
+        wake();
+    }
+    // A user's request from inside this process, answered as one that came over the network.
+    void call(HttpRequest&& r, Responder res) {
+        controller_.serve(std::move(r), std::move(res));
+    }
+    void after(double delay_s, std::function<void()> f) { // on the loop, while the node lives
+        controller_.later().after(delay_s, std::move(f));
+    }
+    void each_tick(std::function<void()> f) { // some thirty times in report_s
+        on_tick_ = std::move(f);
+    }
+    [[nodiscard]] store::StateStore& state() {
+        return controller_.state();
+    }
+    // Until when, by its clock, this node may act if it hears nothing more; 0: it may not.
+    [[nodiscard]] double acts_until() const {
+        return controller_.acts_until();
+    }
+    // The port that workers and users reach, once started: the system's choice where 0 was asked for.
+    [[nodiscard]] int port() const {
+        return users_ ? users_->port() : 0;
+    }
+
+private:
+    static Parts whole(uv_loop_t* loop, const Settings& s, Parts parts);
+    void arm();
+    void tick();
+    void wake();
+
+    uv_loop_t* loop_;
+    Controller controller_;
+    // Outlives the node by a moment: libuv closes handles in a later turn of the loop.
+    struct Handles {
+        uv_timer_t tick{}, wake{};
+        uv_check_t check{};
+        int open = 0;
+    };
+    Handles* handles_ = nullptr;
+    std::unique_ptr<HttpServer> users_, peers_;
+    double next_sweep_ = 0;
+    std::function<void()> on_tick_;
+};
+
+} // namespace heronshift
--- /dev/null
+++ b/include/heronshift/office/commits.hpp
@@ -0,0 +1,54 @@
+// The transactions of one term. Each guards the office and continues the round's count, so that each
+// makes all earlier ones that are still under way fail.
+//
+// Owns: the stamps of office and round, the round's count. May call the store only.
+#pragma once
+
+#include "heronshift/config.hpp"
+#include "heronshift/later.hpp"
+#include "heronshift/messages.hpp"
+#include "heronshift/metrics/timings.hpp"
+#include "heronshift/store/store.hpp"
+
+#include <functional>
+
+namespace heronshift::office {
+
+inline constexpr const char* office_key = "office";
+inline constexpr const char* round_key = "round";
+
+class Commits {
+public:
+    struct Ends { // of a transaction, and of the term that it shows to be over
+        std::function<void(TxnOutcome)> done;
+        std::function<void(const std::string& why)> over;
+        std::function<bool()> valid; // whether the node may act; not asked while it waits for answers
+    };
+    Commits(const Settings& s, Later& later, store::StateStore& store, metrics::Timings& took, Ends ends)
+        : s_(s), later_(later), store_(store), took_(took), ends_(std::move(ends)) {}
+
+    void begin(std::uint64_t term, std::uint64_t stamp) {
+        ++generation_;
+        term_ = term, office_stamp_ = round_stamp_ = stamp, count_ = 0;
+    }
+    void stop() {
+        ++generation_;
+    }
+    void send(Commit c) {
+        send(std::move(c), 0);
+    }
+
+private:
+    void send(Commit c, int tries);
+    void resolve(Commit c, int tries);
+    void applied(std::uint64_t stamp);
+
+    const Settings& s_;
+    Later& later_;
+    store::StateStore& store_;
+    metrics::Timings& took_;
+    Ends ends_;
+    std::uint64_t generation_ = 0, term_ = 0, office_stamp_ = 0, round_stamp_ = 0, count_ = 0;
+};
+
+} // namespace heronshift::office
--- /dev/null
+++ b/include/heronshift/office/reader.hpp
@@ -0,0 +1,42 @@
+// Reads what the store holds of the cluster, whole at a takeover, and from then on the jobs that other
+// nodes store.
+//
+// Owns: the pages read so far and the revision followed to. May call the store only. Says nothing of
+// who may act: it reads on until it is stopped.
+#pragma once
+
+#include "heronshift/later.hpp"
+#include "heronshift/records/records.hpp"
+#include "heronshift/store/store.hpp"
+
+#include <functional>
+
+namespace heronshift::office {
+
+class Reader {
+public:
+    Reader(const Settings& s, Later& later, store::StateStore& store) : s_(s), later_(later), store_(store) {}
+
+    void read_all(std::function<void(Snapshot&&)> done);
+    void follow_jobs(std::function<void(std::vector<codec::StoredJob>&&)> seen); // after read_all
+    void stop() {
+        ++generation_;
+        stored_ = {};
+    }
+
+private:
+    void load(const std::string& prefix, const std::string& since, std::vector<codec::Item>* into,
+              std::function<void()> next);
+    void follow();
+    void tell(const std::vector<codec::Item>& items);
+
+    const Settings& s_;
+    Later& later_;
+    store::StateStore& store_;
+    std::uint64_t generation_ = 0, epoch_ = 0;
+    Snapshot stored_;
+    int left_ = 0;
+    std::function<void(std::vector<codec::StoredJob>&&)> seen_;
+};
+
+} // namespace heronshift::office
--- /dev/null
+++ b/include/heronshift/peers/peers.hpp
@@ -0,0 +1,45 @@
+// How a controller reaches the others. What it says to them goes under /peer/ on their `back` address;
+// an answer that does not come proves nothing about them.
+#pragma once
+
+#include "heronshift/http.hpp"
+
+#include <functional>
+#include <string>
+
+namespace heronshift {
+
+inline constexpr const char* peer_prefix = "/peer";
+
+class Peers {
+public:
+    using Done = std::function<void(HttpReply&&)>;
+
+    Peers() = default;
+    virtual ~Peers() = default;
+    Peers(const Peers&) = delete;
+    Peers& operator=(const Peers&) = delete;
+
+    // The path begins with /peer. Called back once, by timeout_s at about the latest, not after the
+    // end; status 0: no answer, and `sent` says whether it may have reached the peer.
+    virtual void request(const std::string& name, const char* method, const std::string& path, std::string body,
+                         double timeout_s, Done done) = 0;
+    virtual void sweep() {} // ends what takes too long; some thirty times in report_s
+};
+
+// Over HTTP, to the addresses of the settings.
+class HttpPeers final : public Peers {
+public:
+    HttpPeers(uv_loop_t* loop, const std::vector<Peer>& all);
+    void request(const std::string& name, const char* method, const std::string& path, std::string body,
+                 double timeout_s, Done done) override;
+    void sweep() override {
+        client_.sweep();
+    }
+
+private:
+    std::unordered_map<std::string, std::string> addr_;
+    HttpClient client_;
+};
+
+} // namespace heronshift
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -366,6 +366,10 @@
     return out;
 }
 
+std::string error_answer(const std::string& what) {
+    return Json{{"error", what}}.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 std::string redirect(const std::string& node) {
     return Json{{"reportsTo", node}}.dump();
 }
--- a/src/embed/scheduler.cpp
+++ b/src/embed/scheduler.cpp
@@ -1,7 +1,7 @@
 #include "heronshift/embed/scheduler.hpp"
 
 #include "heronshift/codec.hpp"
-#include "heronshift/node.hpp"
+#include "heronshift/node/node.hpp"
 #include "heronshift/store/local.hpp"
 
 #include <atomic>
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,317 @@
+#include "heronshift/gateway/gateway.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace heronshift::gateway {
+namespace {
+
+using codec::error_answer;
+using codec::not_now;
+
+constexpr std::size_t most_lookups = 100;     // under way
+constexpr std::size_t most_remembered = 2000; // jobs accepted lately
+constexpr int most_store_tries = 3;           // while the store's budget is spent
+
+} // namespace
+
+Gateway::Gateway(const Settings& s, Later& later, store::StateStore& store, Peers& peers, metrics::Timings& took,
+                 Host& host)
+    : s_(s), later_(later), store_(store), peers_(peers), took_(took), host_(host),
+      // What a user's read may take when this node is alone with the store.
+      reads_(s.state_rps / 4, s.state_rps / 6), submissions_(s.state_write_rps / 5, s.state_write_rps / 3) {}
+
+void Gateway::serve(HttpRequest&& r, Responder res, bool passed_on) {
+    const bool get = r.method == "GET", post = r.method == "POST";
+    auto wrong_method = [&] { res.send(405, error_answer("wrong method")); };
+    const std::string_view path = r.path;
+    if (path == codec::path_jobs) return post ? submit(std::move(r), std::move(res), passed_on) : wrong_method();
+    if (path.size() <= codec::path_jobs.size() + 1 || path[codec::path_jobs.size()] != '/')
+        return res.send(404, error_answer("no such path"));
+    auto rest = path.substr(codec::path_jobs.size() + 1);
+    const auto slash = rest.find('/');
+    const std::string id(rest.substr(0, slash));
+    if (slash == std::string_view::npos) {
+        if (!get) return wrong_method();
+        // An id that can't have been accepted needs no reading.
+        if (!codec::valid_job_id(id)) return res.send(404, error_answer("no such job"));
+        if (passed_on || host_.acting() != nullptr) return poll(id, std::move(res), passed_on);
+        return pass_on(std::move(r), std::move(res), [this, id](Responder x) { poll(id, std::move(x), false); });
+    }
+    if (rest.substr(slash + 1) != codec::suffix_cancel) return res.send(404, error_answer("no such path"));
+    if (!post) return wrong_method();
+    if (!codec::valid_job_id(id)) return res.send(404, error_answer("no such job"));
+    cancel(id, std::move(r), std::move(res), passed_on);
+}
+
+void Gateway::tick() {
+    // A cancellation that the store does not take in time is refused, not held back.
+    for (auto it = cancels_.begin(); it != cancels_.end();) {
+        if (later_.now() - it->second.since < s_.report_s / 2) {
+            ++it;
+            continue;
+        }
+        it->second.res.send(503, not_now, retry_soon_s);
+        it = cancels_.erase(it);
+    }
+}
+
+void Gateway::left_office() {
+    ++generation_;
+    for (auto& [h, c] : std::exchange(cancels_, {})) c.res.send(503, not_now, retry_soon_s);
+}
+
+// Passes a request on to the holder; what it does not answer is handled here.
+void Gateway::pass_on(HttpRequest&& r, Responder res, std::function<void(Responder)> otherwise) {
+    const auto& to = host_.holder();
+    if (to.empty() || to == s_.name) return otherwise(std::move(res));
+    peers_.request(to, r.method == "GET" ? "GET" : "POST", peer_prefix + r.path, std::move(r.body), s_.report_s / 3,
+                   [res, otherwise = std::move(otherwise)](HttpReply&& a) {
+                       if (a.status == 0 || a.status == 503) return otherwise(res);
+                       res.send(a.status, a.body, a.status == 429 ? retry_soon_s : 0);
+                   });
+}
+
+void Gateway::look_up(const std::string& id, std::function<void(Found)> done) {
+    if (!reads_.take(later_.now(), 2) || lookups_ > most_lookups) {
+        ++took_.refused;
+        return done({});
+    }
+    ++lookups_;
+    store_.get("j/" + id, s_.report_s / 3, [this, id, done = std::move(done)](store::Answer&& r) {
+        Found f;
+        f.job = std::move(r.item);
+        if (r.status != 404 && !f.job) {
+            --lookups_;
+            return done({});
+        }
+        // The final state is read last: it is never taken back, and it is there before the job's
+        // record goes.
+        store_.get("f/" + id, s_.report_s / 3, [this, done, f = std::move(f)](store::Answer&& q) mutable {
+            --lookups_;
+            if (q.status == 200) {
+                const auto final = q.item ? codec::stored_final(q.item->value) : std::nullopt;
+                if (!final) return done({});
+                f.status = final->status;
+                f.service = final->service;
+                f.known = true;
+            } else if (q.status == 404) {
+                f.known = true;
+                if (f.job) f.status = codec::status_pending;
+            }
+            done(std::move(f));
+        });
+    });
+}
+
+void Gateway::poll(const std::string& id, Responder res, bool passed_on) {
+    if (const auto* core = host_.acting(); core != nullptr) {
+        if (const auto v = core->view(id); v)
+            return res.send(200, codec::job_answer(id, v->status, v->done, v->running));
+    } else if (passed_on) {
+        return res.send(503, not_now, retry_soon_s);
+    }
+    look_up(id, [id, res](Found f) {
+        if (!f.known) return res.send(503, not_now, retry_soon_s);
+        if (f.status.empty()) return res.send(404, error_answer("no such job"));
+        res.send(200, codec::job_answer(id, f.status, 0, 0));
+    });
+}
+
+void Gateway::cancel(const std::string& id, HttpRequest&& r, Responder res, bool passed_on) {
+    if (host_.acting() == nullptr) {
+        if (passed_on) return res.send(503, not_now, retry_soon_s);
+        // Only the holder decides, so that its answers from memory are never old.
+        return pass_on(std::move(r), std::move(res), [](Responder x) { x.send(503, not_now, retry_soon_s); });
+    }
+    ask_core_to_cancel(id, std::move(res));
+}
+
+void Gateway::ask_core_to_cancel(const std::string& id, Responder res) {
+    const auto h = ++handle_seq_;
+    cancels_[h] = {std::move(res), id, later_.now()};
+    host_.push(CancelAsked{id, h});
+}
+
+void Gateway::answered(const CancelAnswer& a) {
+    const auto it = cancels_.find(a.handle);
+    if (it == cancels_.end()) return;
+    auto open = std::move(it->second);
+    cancels_.erase(it);
+    if (!a.status.empty()) return open.res.send(200, codec::job_answer(open.id, a.status));
+    look_up(open.id, [this, gen = generation_, open](Found f) {
+        if (!f.known || gen != generation_) return open.res.send(503, not_now, retry_soon_s);
+        if (f.status.empty()) return open.res.send(404, error_answer("no such job"));
+        if (f.status != codec::status_pending) return open.res.send(200, codec::job_answer(open.id, f.status));
+        auto j = f.job ? codec::stored_job(f.job->value, later_.wall()) : std::nullopt;
+        // A damaged record: nobody can do anything with such a job.
+        if (!j) return open.res.send(503, not_now, retry_soon_s);
+        host_.push(job_stored(std::move(*j), later_.wall()));
+        ask_core_to_cancel(open.id, open.res);
+    });
+}
+
+void Gateway::find(const std::string& id, std::function<void(JobFound&&)> done) {
+    look_up(id, [this, id, done = std::move(done)](Found f) {
+        JobFound c{id, Known::no_answer, std::nullopt};
+        if (f.known)
+            c.state = f.status.empty()                      ? Known::never
+                      : f.status == codec::status_done      ? Known::done
+                      : f.status == codec::status_cancelled ? Known::cancelled
+                                                            : Known::open;
+        if (f.job)
+            if (auto j = codec::stored_job(f.job->value, later_.wall()); j)
+                c.job = job_stored(std::move(*j), later_.wall());
+        done(std::move(c));
+    });
+}
+
+std::string Gateway::impossible(const JobSpec& s) const {
+    const TeamLimits* team = nullptr;
+    for (const auto& t : s_.teams)
+        if (t.name == s.team) team = &t;
+    if (team == nullptr) return "owner: unknown team";
+    const double n = s.shape == Shape::array ? 1 : s.tasks;
+    if (team->cpus_max > 0 && s.each.cpus * n > team->cpus_max + 1e-6) return "cpus: beyond the team's limit";
+    if (team->gpus_max > 0 && s.each.gpus * n > team->gpus_max + 1e-6) return "accelerators: beyond the team's limit";
+    if (std::find(s.needs.begin(), s.needs.end(), s.id) != s.needs.end()) return "waitsOn: names the job itself";
+    // Its longest record, with the times written out.
+    const auto record = codec::to_record({s, 1e9 + 0.123456, 1e9 + 0.123456, !s.needs.empty(), {}}).dump().size() + 40;
+    if (record > static_cast<std::size_t>(s_.value_kb * 1024))
+        return fmt::format("the job's record is longer than the {} KiB that the state service takes", s_.value_kb);
+    for (const auto& t : host_.types()) {
+        if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), t.name) == s.types.end()) continue;
+        if (!s.zone.empty() && std::find(t.zones.begin(), t.zones.end(), s.zone) == t.zones.end()) continue;
+        if (s.each.fits(t.room)) return {};
+    }
+    return "a task fits no allowed machine type";
+}
+
+void Gateway::submit(HttpRequest&& r, Responder res, bool passed_on) {
+    auto parsed = codec::submission(r.body);
+    std::string refusal;
+    int status = 0;
+    std::string id;
+    if (auto* bad = std::get_if<codec::Invalid>(&parsed)) {
+        status = 400;
+        refusal = bad->why;
+        // Even then a known id gets its state.
+        if (const auto j = codec::parse(r.body); j.is_object() && j.contains("id") && j["id"].is_string())
+            id = j["id"].get<std::string>();
+        if (!codec::valid_job_id(id)) return res.send(400, error_answer(refusal));
+    } else {
+        id = std::get<JobSpec>(parsed).id;
+    }
+    if (const auto* core = host_.acting(); core != nullptr)
+        if (const auto v = core->view(id); v) return res.send(200, codec::job_answer(id, v->status));
+    if (status == 0) {
+        if (host_.types().empty()) return res.send(503, not_now, retry_soon_s);
+        refusal = impossible(std::get<JobSpec>(parsed));
+        if (!refusal.empty()) status = 422;
+    }
+    if (status != 0) return refuse_unless_known(id, status, refusal, res);
+    auto s = std::make_shared<Submission>(
+        Submission{std::move(std::get<JobSpec>(parsed)), std::move(r), std::move(res), passed_on, later_.now(), 0, 0});
+    s->spec.needs.empty() ? accept(s) : check_needs(s);
+}
+
+// A known id gets its state, whatever else is wrong.
+void Gateway::refuse_unless_known(const std::string& id, int status, const std::string& why, const Responder& res) {
+    look_up(id, [id, res, status, why](Found f) {
+        if (!f.known) return res.send(503, not_now, retry_soon_s);
+        if (!f.status.empty()) return res.send(200, codec::job_answer(id, f.status));
+        res.send(status, error_answer(why));
+    });
+}
+
+void Gateway::accept(const Open& s) {
+    if (!submissions_.take(later_.now())) {
+        ++took_.refused;
+        spdlog::debug("submission of {} refused, too many at once", s->spec.id);
+        return s->res.send(429, not_now, retry_soon_s);
+    }
+    store_job(s);
+}
+
+// That a job was accepted stays true, so it is remembered; that it never was is said only after a
+// fresh read. One need after the other, within the budget for reads.
+void Gateway::check_needs(const Open& s) {
+    auto refuse = [this, s](const std::string& why) {
+        refuse_unless_known(s->spec.id, 422, "waitsOn: " + why, s->res);
+    };
+    for (; s->next_need < s->spec.needs.size(); ++s->next_need) {
+        const auto& id = s->spec.needs[s->next_need];
+        if (accepted_.contains(id)) continue;
+        const auto* core = host_.acting();
+        if (const auto shape = core != nullptr ? core->shape_of(id) : std::nullopt; shape) {
+            if (*shape == Shape::service) return refuse(id + " is a service");
+            continue;
+        }
+        if (!reads_.would_take(later_.now(), 2) || lookups_ > most_lookups) {
+            if (later_.now() - s->since > s_.report_s / 2) {
+                ++took_.refused;
+                return s->res.send(503, not_now, retry_soon_s);
+            }
+            return later_.after(s_.report_s / 60, [this, s] { check_needs(s); });
+        }
+        return look_up(id, [this, s, id, refuse](Found f) {
+            if (!f.known) return s->res.send(503, not_now, retry_soon_s);
+            if (f.status.empty()) return refuse(id + " was never accepted");
+            const auto j = f.job ? codec::stored_job(f.job->value, later_.wall()) : std::nullopt;
+            if (f.service || (j && j->spec.shape == Shape::service)) return refuse(id + " is a service");
+            remember_accepted(id);
+            check_needs(s);
+        });
+    }
+    accept(s);
+}
+
+void Gateway::remember_accepted(const std::string& id) {
+    if (!accepted_.insert(id).second) return;
+    accepted_order_.push_back(id);
+    if (accepted_order_.size() <= most_remembered) return;
+    accepted_.erase(accepted_order_.front());
+    accepted_order_.pop_front();
+}
+
+void Gateway::store_job(const Open& s) {
+    const double at = later_.wall(), began = later_.now();
+    const auto& id = s->spec.id;
+    const std::vector<codec::Guard> guards{{"j/" + id, 0}, {"f/" + id, 0}};
+    const std::vector<codec::Write> writes{
+        {"j/" + id, codec::to_record({s->spec, at, -1, !s->spec.needs.empty(), {}}), 0}};
+    // Where the store does not answer this node, another may still be served within the user's time.
+    const double patience = s->passed_on ? s_.report_s / 2 : s_.report_s / 10;
+    store_.transact(guards, writes, patience,
+                    [this, s, at, began](store::Answer&& r) { stored(s, std::move(r), at, began); });
+}
+
+void Gateway::stored(const Open& s, store::Answer&& r, double at, double began) {
+    const auto id = s->spec.id;
+    const bool waits = !s->spec.needs.empty();
+    if (r.status == 200) {
+        took_.submit.add(later_.now() - began);
+        if (s->spec.shape != Shape::service) remember_accepted(id);
+        host_.stored(JobStored{std::move(s->spec), std::max(0.0, later_.wall() - at), -1, waits});
+        return s->res.send(201, codec::job_answer(id, codec::status_pending));
+    }
+    if (r.status == 409)
+        return look_up(id, [id, res = s->res](Found f) {
+            if (!f.known || f.status.empty()) return res.send(503, not_now, retry_soon_s);
+            res.send(200, codec::job_answer(id, f.status));
+        });
+    // The budget is shared: a moment later there may be room.
+    if (r.status == 429 && s->tries < most_store_tries)
+        return later_.after(0.05 * (1 + s->tries++), [this, s] { store_job(s); });
+    const auto refuse = [this, id, status = r.status](const Responder& x) {
+        ++took_.refused;
+        spdlog::debug("submission of {} refused, the store said {}", id, status);
+        x.send(503, not_now, retry_soon_s);
+    };
+    // A process of the version before would take a chained job for one that may start.
+    if (s->passed_on || waits || r.status == 429) return refuse(s->res);
+    pass_on(std::move(s->request), s->res, refuse);
+}
+
+} // namespace heronshift::gateway
--- /dev/null
+++ b/src/node/controller.cpp
@@ -0,0 +1,189 @@
+#include "heronshift/node/controller.hpp"
+
+#include "heronshift/each.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <spdlog/spdlog.h>
+
+namespace heronshift {
+
+using gateway::retry_soon_s;
+
+Controller::Controller(Settings settings, Parts parts)
+    : s_(std::move(settings)), clock_(std::move(parts.clock)), later_(clock_), store_(std::move(parts.state)),
+      executor_(std::move(parts.executor)), peers_(std::move(parts.peers)),
+      office_(s_, later_, *store_, *peers_, took_, *this), gateway_(s_, later_, *store_, *peers_, took_, *this),
+      desk_(s_, later_, *executor_, took_, *this), cloud_(s_, later_, *store_, *executor_, *this) {
+    later_.on_change = [this] {
+        if (on_wake_at) on_wake_at();
+    };
+}
+
+void Controller::start() {
+    office_.start();
+    cloud_.start();
+}
+
+void Controller::stop() {
+    office_.stop();
+}
+
+void Controller::tick() {
+    store_->sweep();
+    executor_->sweep();
+    peers_->sweep();
+    office_.tick();
+    cloud_.tick();
+    gateway_.tick();
+}
+
+void Controller::wake() {
+    later_.run();
+    run_core();
+}
+
+double Controller::wake_at() const {
+    const double at = later_.next_at();
+    if (!core_) return at;
+    return queue_.empty() || !office_.valid() ? std::min(at, core_->wake_at()) : 0;
+}
+
+void Controller::push(Command c) {
+    if (!core_) return;
+    queue_.push_back(std::move(c));
+    if (on_wake_at) on_wake_at();
+}
+
+void Controller::entered(std::uint64_t term, Snapshot&& stored) {
+    const double at = later_.now(), wall_at = later_.wall();
+    ++life_;
+    queue_.clear();
+    if (log_) log_->begin(s_, term, stored, at, wall_at);
+    core_ = std::make_unique<Core>(s_, term, stored, at, wall_at);
+    spdlog::info("term {}: {} jobs and {} records read", term, stored.jobs.size(),
+                 stored.intents.size() + stored.progress.size() + stored.earlier.size());
+    cloud_.entered_office();
+    if (on_wake_at) on_wake_at();
+}
+
+void Controller::left() {
+    ++life_;
+    core_.reset();
+    queue_.clear();
+    cloud_.left_office();
+    desk_.left_office();
+    gateway_.left_office();
+}
+
+void Controller::jobs_seen(std::vector<codec::StoredJob>&& jobs) {
+    for (auto& j : jobs) push(job_stored(std::move(j), later_.wall()));
+}
+
+void Controller::committed(TxnOutcome outcome) {
+    push(Committed{outcome});
+}
+
+void Controller::stored(JobStored&& j) {
+    if (!core_) return;
+    took_.first_launches.known(j.spec.id, later_.now());
+    push(std::move(j));
+}
+
+void Controller::run_core() {
+    if (!core_ || running_core_) return;
+    const double t = later_.now();
+    if ((queue_.empty() || !office_.valid()) && t < core_->wake_at()) return;
+    running_core_ = true;
+    std::vector<Command> batch;
+    batch.swap(queue_);
+    const auto commands = batch.size();
+    const double wall_now = later_.wall();
+    const bool entitled = office_.valid();
+    if (log_) log_->commands(batch, t, wall_now, entitled);
+    auto effects = core_->step(batch, t, wall_now, entitled);
+    if (log_) {
+        log_->effects(effects);
+        if (!log_->open()) {
+            spdlog::warn("the command log ends here: {}", log_->why());
+            log_.reset();
+        }
+    }
+    const double took = later_.now() - t;
+    took_.step.add(took);
+    if (took > s_.report_s / 100)
+        spdlog::debug("a step took {:.0f} ms for {} commands and {} effects", took * 1000, commands, effects.size());
+    queue_.insert(queue_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
+    const auto life = life_;
+    for (auto& e : effects) {
+        if (life != life_) break; // stepped down meanwhile
+        perform(e);
+    }
+    running_core_ = false;
+    if (on_wake_at) on_wake_at();
+}
+
+void Controller::perform(Effect& effect) {
+    const auto to_core = [this, life = life_](auto&& c) {
+        if (life == life_) push(std::forward<decltype(c)>(c));
+    };
+    std::visit(Each{
+                   [this](Commit& e) { office_.commit(std::move(e)); },
+                   [&](SendOrders& e) { desk_.send(e, to_core); },
+                   [this](BeatAnswer& e) { desk_.answer(std::move(e)); },
+                   [this](CancelAnswer& e) { gateway_.answered(e); },
+                   [&](FindJob& e) { gateway_.find(e.id, to_core); },
+                   [this](Rent& e) { cloud_.rent(e); },
+                   [this](Release& e) { cloud_.release(e); },
+                   [this](StepDown& e) { office_.step_down(e.why); },
+                   [](Note& e) {
+                       spdlog::log(e.level == 0   ? spdlog::level::debug
+                                   : e.level == 1 ? spdlog::level::info
+                                                  : spdlog::level::warn,
+                                   "{}", e.text);
+                   },
+               },
+               effect);
+}
+
+void Controller::serve_peer(HttpRequest&& r, Responder res) {
+    if (!r.path.starts_with(peer_prefix)) return res.send(404, codec::error_answer("no such path"));
+    r.path.erase(0, std::string_view(peer_prefix).size());
+    if (r.path == "/promise") return office_.asked_to_promise(r, res);
+    if (r.path == "/office")
+        return res.send(200, codec::Json{{"holder", office_.holder()}, {"term", office_.term()}}.dump());
+    serve(std::move(r), std::move(res), true);
+}
+
+void Controller::serve(HttpRequest&& r, Responder res) {
+    ++took_.requests;
+    serve(std::move(r), std::move(res), false);
+}
+
+void Controller::serve(HttpRequest&& r, Responder res, bool passed_on) {
+    const std::string_view path = r.path;
+    const bool get = r.method == "GET", post = r.method == "POST";
+    auto wrong_method = [&] { res.send(405, codec::error_answer("wrong method")); };
+    if (path == codec::path_report) return post ? desk_.beat(r, res) : wrong_method();
+    if (path == codec::path_health) {
+        if (!get) return wrong_method();
+        return types().empty() ? res.send(503, codec::not_now, retry_soon_s) : res.send(200, "{}");
+    }
+    if (path == "/metrics") return get ? res.send(200, metrics()) : wrong_method();
+    if (path.starts_with(codec::path_jobs)) return gateway_.serve(std::move(r), std::move(res), passed_on);
+    res.send(404, codec::error_answer("no such path"));
+}
+
+std::string Controller::metrics() const {
+    auto values = core_ ? core_->metrics() : std::vector<metrics::Value>{};
+    values.push_back({"heronshift_requests_total", "from users and workers", static_cast<double>(took_.requests)});
+    values.push_back({"heronshift_refused_total", "requests sent away for now", static_cast<double>(took_.refused)});
+    return metrics::text(values, {{"heronshift_submit_seconds", "to store a job and answer", &took_.submit},
+                                  {"heronshift_first_launch_seconds",
+                                   "from when the holder knows a job to its first launch", &took_.launch},
+                                  {"heronshift_report_seconds", "to answer a report", &took_.report},
+                                  {"heronshift_commit_seconds", "to store a transaction", &took_.commit},
+                                  {"heronshift_step_seconds", "of decisions", &took_.step}});
+}
+
+} // namespace heronshift
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,106 @@
+#include "heronshift/node/node.hpp"
+
+#include "heronshift/executor/http.hpp"
+#include "heronshift/store/remote.hpp"
+
+#include <algorithm>
+
+namespace heronshift {
+namespace {
+
+constexpr double ticks_a_report = 30;
+constexpr double longest_sleep_s = 1;
+
+} // namespace
+
+Node::Parts Node::whole(uv_loop_t* loop, const Settings& s, Parts parts) {
+    if (!parts.clock) parts.clock = std::make_shared<Clock>();
+    if (!parts.state) parts.state = std::make_unique<store::RemoteStore>(loop, s.state);
+    if (!parts.executor) parts.executor = std::make_unique<HttpExecutor>(loop, s.cloud);
+    if (!parts.peers) parts.peers = std::make_unique<HttpPeers>(loop, s.peers);
+    return parts;
+}
+
+Node::Node(uv_loop_t* loop, Settings settings, Parts parts)
+    : loop_(loop), controller_(settings, whole(loop, settings, std::move(parts))) {
+    controller_.on_wake_at = [this] { arm(); };
+}
+
+Node::~Node() {
+    if (handles_ == nullptr) return;
+    for (auto* h : {reinterpret_cast<uv_handle_t*>(&handles_->tick), reinterpret_cast<uv_handle_t*>(&handles_->wake),
+                    reinterpret_cast<uv_handle_t*>(&handles_->check)}) {
+        h->data = handles_;
+        uv_close(h, [](uv_handle_t* x) {
+            auto* all = static_cast<Handles*>(x->data);
+            if (--all->open == 0) delete all;
+        });
+    }
+}
+
+int Node::start() {
+    const auto& s = controller_.settings();
+    // Sockets: a part stays free for workers, peers, the store and the cloud.
+    const auto fds = static_cast<std::size_t>(s.fd_limit);
+    const double idle_s = 2 * s.lease_s + 30;
+    users_ = std::make_unique<HttpServer>(loop_, fds * 7 / 10, idle_s, [this](HttpRequest&& r, Responder res) {
+        controller_.serve(std::move(r), std::move(res));
+    });
+    peers_ = std::make_unique<HttpServer>(loop_, fds / 10, idle_s, [this](HttpRequest&& r, Responder res) {
+        controller_.serve_peer(std::move(r), std::move(res));
+    });
+    for (const auto& [server, at] : {std::pair{users_.get(), &s.listen}, std::pair{peers_.get(), &s.peer_listen}})
+        if (!at->host.empty())
+            if (const int e = server->listen(*at); e != 0) return e;
+    handles_ = new Handles;
+    handles_->open = 3;
+    uv_timer_init(loop_, &handles_->tick);
+    uv_timer_init(loop_, &handles_->wake);
+    uv_check_init(loop_, &handles_->check);
+    handles_->tick.data = handles_->wake.data = handles_->check.data = this;
+    uv_timer_start(
+        &handles_->tick, [](uv_timer_t* t) { static_cast<Node*>(t->data)->tick(); }, 1,
+        static_cast<std::uint64_t>(s.report_s * 1000 / ticks_a_report));
+    // Commands gather while the loop handles what has arrived, then the core takes them at once.
+    uv_check_start(&handles_->check, [](uv_check_t* c) { static_cast<Node*>(c->data)->controller_.run_core(); });
+    controller_.start();
+    return 0;
+}
+
+void Node::stop() {
+    controller_.stop();
+    if (handles_ != nullptr) {
+        uv_timer_stop(&handles_->tick);
+        uv_check_stop(&handles_->check);
+    }
+    users_.reset();
+    peers_.reset();
+}
+
+void Node::arm() {
+    if (handles_ == nullptr) return;
+    const double now = controller_.later().now();
+    const double in = std::clamp(controller_.wake_at() - now, 0.0, longest_sleep_s);
+    uv_timer_start(
+        &handles_->wake, [](uv_timer_t* t) { static_cast<Node*>(t->data)->wake(); },
+        // Never 0: libuv runs a timer that is due again at once for ever.
+        std::max<std::uint64_t>(1, static_cast<std::uint64_t>(in * 1000 + 0.999)), 0);
+}
+
+void Node::wake() {
+    controller_.wake();
+    arm();
+}
+
+void Node::tick() {
+    if (on_tick_) on_tick_();
+    const double t = controller_.later().now();
+    if (t >= next_sweep_) {
+        next_sweep_ = t + 1;
+        users_->sweep();
+        peers_->sweep();
+    }
+    controller_.tick();
+}
+
+} // namespace heronshift
--- /dev/null
+++ b/src/office/reader.cpp
@@ -0,0 +1,89 @@
+#include "heronshift/office/reader.hpp"
+
+#include <algorithm>
+
+namespace heronshift::office {
+namespace {
+
+constexpr int records_a_page = 500;
+constexpr double page_s = 2; // for one page to come
+
+} // namespace
+
+void Reader::read_all(std::function<void(Snapshot&&)> done) {
+    ++generation_;
+    stored_ = {};
+    // All at once: only jobs can still change, by other nodes, and those changes are followed.
+    const std::pair<const char*, std::vector<codec::Item>*> prefixes[] = {
+        {"j/", &stored_.jobs},     {"i/", &stored_.intents}, {"p/", &stored_.progress}, // as the versions before wrote
+                                                                                        // it
+        {"q/", &stored_.progress}, {"c/", &stored_.images},  {"l/", &stored_.learned},  {"m/", &stored_.earlier},
+        {"d/", &stored_.earlier},
+    };
+    left_ = static_cast<int>(std::size(prefixes));
+    for (const auto& [prefix, into] : prefixes)
+        load(prefix, "", into, [this, done] {
+            if (--left_ == 0) done(std::exchange(stored_, {}));
+        });
+}
+
+// Everything below a prefix, page by page.
+void Reader::load(const std::string& prefix, const std::string& since, std::vector<codec::Item>* into,
+                  std::function<void()> next) {
+    const auto gen = generation_;
+    store_.list(prefix, since, records_a_page, page_s, [=, this](store::Answer&& page) {
+        if (gen != generation_) return;
+        if (page.status != 200)
+            return later_.after(s_.report_s / 10, [=, this] {
+                if (gen == generation_) load(prefix, since, into, next);
+            });
+        if (prefix == "j/" && since.empty()) epoch_ = page.epoch;
+        std::string last;
+        for (auto& i : page.items) {
+            last = i.key;
+            into->push_back(std::move(i));
+        }
+        if (page.more && !last.empty()) return load(prefix, last, into, next);
+        next();
+    });
+}
+
+void Reader::tell(const std::vector<codec::Item>& items) {
+    std::vector<codec::StoredJob> jobs;
+    for (const auto& i : items) {
+        if (i.deleted) continue;
+        if (auto j = codec::stored_job(i.value, later_.wall()); j) jobs.push_back(std::move(*j));
+    }
+    seen_(std::move(jobs));
+}
+
+void Reader::follow_jobs(std::function<void(std::vector<codec::StoredJob>&&)> seen) {
+    seen_ = std::move(seen);
+    follow();
+}
+
+// Other nodes accept jobs too; the holder learns of them here.
+void Reader::follow() {
+    const auto gen = generation_;
+    store_.follow("j/", epoch_, s_.lease_s / 2, [this, gen](store::Answer&& r) {
+        if (gen != generation_) return;
+        auto again = [this, gen](double delay_s) {
+            later_.after(delay_s, [this, gen] {
+                if (gen == generation_) follow();
+            });
+        };
+        if (r.status == 410) { // too far behind: everything is read again
+            stored_ = {};
+            return load("j/", "", &stored_.jobs, [this, again] {
+                tell(std::exchange(stored_, {}).jobs);
+                again(0);
+            });
+        }
+        if (r.status != 200) return again(s_.report_s / 10);
+        epoch_ = std::max(epoch_, r.epoch);
+        tell(r.items);
+        again(0);
+    });
+}
+
+} // namespace heronshift::office
--- a/src/tenancy.cpp
+++ b/src/office/tenancy.cpp
@@ -1,4 +1,4 @@
-#include "heronshift/tenancy.hpp"
+#include "heronshift/office/tenancy.hpp"
 
 #include <algorithm>
 
--- a/tests/test_same.cpp
+++ b/tests/test_same.cpp
@@ -6,7 +6,7 @@
 #include "heronshift/embed/scheduler.hpp"
 #include "heronshift/local/cloud.hpp"
 #include "heronshift/local/port.hpp"
-#include "heronshift/node.hpp"
+#include "heronshift/node/node.hpp"
 #include "heronshift/store/direct.hpp"
 #include "heronshift/store/server.hpp"
 
@@ -315,7 +315,7 @@
 struct Daemons final : OverHttp {
     explicit Daemons(const OperatorSettings& ops) : OverHttp(ops) {
         for (const auto& mine : settings) {
-            nodes.push_back(std::make_unique<Node>(&loop, mine, Node::Parts{{}, {}, clock}));
+            nodes.push_back(std::make_unique<Node>(&loop, mine, Node::Parts{{}, {}, {}, clock}));
             EXPECT_EQ(nodes.back()->start(), 0);
         }
     }
@@ -379,7 +379,7 @@
         uv_loop_t own;
         uv_loop_init(&own);
         Node node(&own, settings[static_cast<std::size_t>(i)],
-                  Node::Parts{{}, {}, std::make_shared<SharedSteps>(*shared)});
+                  Node::Parts{{}, {}, {}, std::make_shared<SharedSteps>(*shared)});
         if (node.start() != 0) _exit(1);
         for (;;) {
             node.turn();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -5,7 +5,7 @@
 
 #include "heronshift/core/core.hpp"
 #include "heronshift/replay/command_log.hpp"
-#include "heronshift/tenancy.hpp"
+#include "heronshift/office/tenancy.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
