--- a/include/heronshift/agents/desk.hpp
+++ b/include/heronshift/agents/desk.hpp
@@ -1,17 +1,23 @@
-// What machines say and are told: reports and their answers, orders sent to them.
+// What machines say and are told: reports and their answers, orders sent to them; both also by way of
+// another controller, where the direct way is cut.
 //
-// Owns: the answers still owed to machines. May call the executor; the office and the core only through
-// its Host. It carries: what a report means and which orders there are, the core decides.
+// Owns: the answers still owed to machines, who was sent to the holder lately, the budget of relays. May
+// call the executor, the peers and membership; the office and the core only through its Host. It carries:
+// what a report means and which orders there are, the core decides. A relay is only a longer way: it never
+// answers by itself, keeps, repeats or merges, and is never relayed once more. See docs/safety.md.
 #pragma once
 
 #include "heronshift/executor/executor.hpp"
 #include "heronshift/http.hpp"
 #include "heronshift/later.hpp"
+#include "heronshift/membership/membership.hpp"
 #include "heronshift/metrics/timings.hpp"
+#include "heronshift/peers/peers.hpp"
 
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace heronshift::agents {
 
@@ -20,28 +26,36 @@
     class Host {
     public:
         virtual ~Host() = default;
-        [[nodiscard]] virtual bool acts() const = 0;                 // at this moment
-        [[nodiscard]] virtual const std::string& holder() const = 0; // a hint, may be empty
-        virtual void push(Command c) = 0;                            // to the core
-        virtual void worker_heard() = 0;
+        [[nodiscard]] virtual bool acts() const = 0;                                     // at this moment
+        [[nodiscard]] virtual const std::string& holder() const = 0;                     // a hint, may be empty
+        [[nodiscard]] virtual std::string zone_of(const std::string& machine) const = 0; // empty: not known
+        virtual void push(Command c) = 0;                                                // to the core
     };
-    Desk(const Settings& s, Later& later, Executor& executor, metrics::Timings& took, Host& host);
+    Desk(const Settings& s, Later& later, Executor& executor, Peers& peers, membership::Membership& members,
+         metrics::Timings& took, Host& host);
 
-    void beat(const HttpRequest& r, const Responder& res); // POST /agent/beat
-    void report(Report&& r, Executor::ReportDone done);
-    void left_office(); // who waits for an answer is sent away
+    void beat(HttpRequest&& r, const Responder& res, bool relayed); // POST /agent/beat
+    void pass_on(HttpRequest&& r, const Responder& res);            // POST /peer/relay: orders for a machine
+    void left_office();                                             // who waits for an answer is sent away
 
     // From the core.
     void answer(BeatAnswer&& a);
     void send(const SendOrders& o, std::function<void(OrdersAnswered&&)> done);
 
 private:
+    void report(Report&& r, Executor::ReportDone done);
     [[nodiscard]] std::optional<ReportAnswer> elsewhere() const; // what a report is told that this node must not take
+    enum class Way : std::uint8_t { holder, relay, next };
+    [[nodiscard]] Way way_of(const Report& r);
+    void relay(std::string body, const Responder& res);
+    void send_by(const std::string& peer, const SendOrders& o, std::function<void(OrdersAnswered&&)> done);
     void note_launches(const std::vector<Order>& orders);
 
     const Settings& s_;
     Later& later_;
     Executor& executor_;
+    Peers& peers_;
+    membership::Membership& members_;
     metrics::Timings& took_;
     Host& host_;
     std::uint64_t handle_seq_ = 0;
@@ -50,6 +64,12 @@
         double since = 0;
     };
     std::map<std::uint64_t, Open> open_;
+    struct SentAway { // to whom, when (below zero: it came back since), and until when it is relayed
+        std::string holder;
+        double at = -1, relay_until = -1;
+    };
+    std::unordered_map<std::string, SentAway> sent_away_;
+    std::size_t most_relays_, relaying_ = 0; // reports and orders of others, under way
 };
 
 } // namespace heronshift::agents
--- a/include/heronshift/cloud/cloud_desk.hpp
+++ b/include/heronshift/cloud/cloud_desk.hpp
@@ -27,6 +27,7 @@
         [[nodiscard]] virtual bool acts() const = 0; // at this moment
         [[nodiscard]] virtual bool held() const = 0; // the office is ours
         virtual void push(Command c) = 0;            // to the core, if there is one
+        virtual void cloud_answered(bool ok) = 0;
     };
     CloudDesk(const Settings& s, Later& later, store::StateStore& store, Executor& executor, Host& host)
         : s_(s), later_(later), store_(store), executor_(executor), host_(host),
--- a/include/heronshift/executor/executor.hpp
+++ b/include/heronshift/executor/executor.hpp
@@ -8,6 +8,7 @@
 // comes once, at the latest when the executor is destroyed or the time given is over.
 #pragma once
 
+#include "heronshift/http_reply.hpp"
 #include "heronshift/messages.hpp"
 
 #include <functional>
@@ -49,6 +50,18 @@
     virtual void list(const std::string& since, double timeout_s,
                       std::function<void(std::optional<codec::MachinePage>&&)> done) = 0;
     virtual void types(double timeout_s, std::function<void(std::optional<std::vector<MachineType>>&&)> done) = 0;
+
+    // For several controllers that help each other. Whether the machine at an address answers at all; none:
+    // that cannot be asked here.
+    virtual void probe(const std::string& /*addr*/, double /*timeout_s*/,
+                       std::function<void(std::optional<bool>)> done) {
+        done(std::nullopt);
+    }
+    // Orders that another controller has written, as they are: the machine's answer as it is, status 0 for none.
+    virtual void pass_on(const std::string& /*addr*/, std::string /*body*/, double /*timeout_s*/,
+                         std::function<void(HttpReply&&)> done) {
+        done({});
+    }
     virtual void sweep() {} // ends what takes too long; some thirty times in report_s
 };
 
--- a/include/heronshift/executor/http.hpp
+++ b/include/heronshift/executor/http.hpp
@@ -9,7 +9,7 @@
 class HttpExecutor final : public Executor {
 public:
     HttpExecutor(uv_loop_t* loop, const Endpoint& cloud)
-        : cloud_at_(cloud.str()), cloud_(loop, 2, 16), agents_(loop, 1, 4) {}
+        : cloud_at_(cloud.str()), cloud_(loop, 2, 16), agents_(loop, 1, 4), probes_(loop, 1, 1) {}
 
     void command(const SendOrders& orders, double timeout_s, std::function<void(OrdersAnswered&&)> done) override;
     void rent(const Rent& ask, double timeout_s, std::function<void(Rented&&)> done) override;
@@ -17,14 +17,16 @@
     void list(const std::string& since, double timeout_s,
               std::function<void(std::optional<codec::MachinePage>&&)> done) override;
     void types(double timeout_s, std::function<void(std::optional<std::vector<MachineType>>&&)> done) override;
+    void probe(const std::string& addr, double timeout_s, std::function<void(std::optional<bool>)> done) override;
+    void pass_on(const std::string& addr, std::string body, double timeout_s,
+                 std::function<void(HttpReply&&)> done) override;
     void sweep() override {
-        cloud_.sweep();
-        agents_.sweep();
+        for (auto* c : {&cloud_, &agents_, &probes_}) c->sweep();
     }
 
 private:
     std::string cloud_at_;
-    HttpClient cloud_, agents_;
+    HttpClient cloud_, agents_, probes_;
 };
 
 } // namespace heronshift
--- a/include/heronshift/gateway/gateway.hpp
+++ b/include/heronshift/gateway/gateway.hpp
@@ -1,13 +1,14 @@
 // What users ask: accept, look up, cancel, and pass on what only the holder can answer.
 //
 // Owns: the answers still owed to users, what it remembers of accepted jobs, the budgets of reads and
-// submissions. May call the store, the peers and, where this node acts, the core's view through its Host;
-// never the office or a machine. Knows nothing of holds: its Host says whether this node acts.
+// submissions. May call the store, the peers, membership and, where this node acts, the core's view through
+// its Host; never the office or a machine. Knows nothing of holds: its Host says whether this node acts.
 #pragma once
 
 #include "heronshift/budget.hpp"
 #include "heronshift/core/core.hpp"
 #include "heronshift/later.hpp"
+#include "heronshift/membership/membership.hpp"
 #include "heronshift/metrics/timings.hpp"
 #include "heronshift/peers/peers.hpp"
 #include "heronshift/store/store.hpp"
@@ -36,8 +37,8 @@
         virtual void push(Command c) = 0;       // to the core
         virtual void stored(JobStored&& j) = 0; // a job was accepted here
     };
-    Gateway(const Settings& s, Later& later, store::StateStore& store, Peers& peers, metrics::Timings& took,
-            Host& host);
+    Gateway(const Settings& s, Later& later, store::StateStore& store, Peers& peers,
+            const membership::Membership& members, metrics::Timings& took, Host& host);
 
     // A path of /v2/runs. passed_on: by another controller, so it is not passed on again.
     void serve(HttpRequest&& r, Responder res, bool passed_on);
@@ -50,10 +51,13 @@
 
 private:
     void submit(HttpRequest&& r, Responder res, bool passed_on);
-    void poll(const std::string& id, Responder res, bool passed_on);
+    void poll(const std::string& id, Responder res);
     void cancel(const std::string& id, HttpRequest&& r, Responder res, bool passed_on);
     void ask_core_to_cancel(const std::string& id, Responder res);
-    void pass_on(HttpRequest&& r, Responder res, std::function<void(Responder)> otherwise);
+    using Otherwise = std::function<void(Responder)>;
+    [[nodiscard]] std::vector<std::string> ways(bool to_holder, bool to_store) const;
+    void pass_on(std::shared_ptr<const HttpRequest> r, Responder res, std::vector<std::string> to, double wait_s,
+                 Otherwise otherwise);
     // Fresh reads: the final state if there is one, else whether the job was accepted.
     struct Found {
         bool known = false;   // the store has answered
@@ -65,7 +69,7 @@
     // A submission that is checked, or on its way to the store.
     struct Submission {
         JobSpec spec;
-        HttpRequest request;
+        std::shared_ptr<const HttpRequest> request;
         Responder res;
         bool passed_on = false;
         double since = 0;
@@ -85,6 +89,7 @@
     Later& later_;
     store::StateStore& store_;
     Peers& peers_;
+    const membership::Membership& members_;
     metrics::Timings& took_;
     Host& host_;
     RateBudget reads_, submissions_;
--- a/include/heronshift/http.hpp
+++ b/include/heronshift/http.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "heronshift/config.hpp"
+#include "heronshift/http_reply.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -82,12 +83,6 @@
     std::unordered_set<std::shared_ptr<ServerConnection>> conns_;
 };
 
-struct HttpReply {
-    int status = 0; // 0: no answer
-    std::string body;
-    bool sent = false; // false: the request surely never left this node
-};
-
 // Keeps a bounded pool of connections to each address.
 class HttpClient {
 public:
--- /dev/null
+++ b/include/heronshift/membership/link.hpp
@@ -0,0 +1,45 @@
+// Whether something can be reached, told from what worked and what failed. No clock and no I/O.
+#pragma once
+
+#include <cstdint>
+
+namespace heronshift::membership {
+
+enum class Reach : std::uint8_t { unknown, works, lost };
+
+// How much it takes to think otherwise; times in seconds.
+struct Patience {
+    double lost_s = 0; // since it last worked, before it is thought lost
+    int failures = 1;  // in a row, besides
+    double back_s = 0; // without a failure, before it is thought to work again
+};
+
+class Link {
+public:
+    explicit Link(Patience p) : p_(p) {}
+
+    // Each returns true if that changed what is thought of it.
+    bool worked(double now);
+    bool failed(double now);
+
+    [[nodiscard]] Reach reach() const {
+        return reach_;
+    }
+    [[nodiscard]] bool lost() const {
+        return reach_ == Reach::lost;
+    }
+    [[nodiscard]] double worked_at() const { // below zero: never
+        return worked_at_;
+    }
+    [[nodiscard]] double failed_at() const {
+        return failed_at_;
+    }
+
+private:
+    Patience p_;
+    Reach reach_ = Reach::unknown;
+    double worked_at_ = -1, failed_at_ = -1, first_failed_ = -1, back_since_ = -1;
+    int failures_ = 0;
+};
+
+} // namespace heronshift::membership
--- /dev/null
+++ b/include/heronshift/membership/membership.hpp
@@ -0,0 +1,151 @@
+// Which links of this controller work, and what the peers last said of theirs.
+//
+// Owns: a Link for the state service, the cloud, every peer and the workers of every zone; the newest view
+// of each peer with its age; a few addresses of machines to ask. May call the peers, the store and the
+// executor, for exchanges and probes only; what the office and the core know it asks its Host. Everything
+// here is a hint: nothing that a rule hangs on is decided by it, a wrong or stale view costs time.
+#pragma once
+
+#include "heronshift/config.hpp"
+#include "heronshift/executor/executor.hpp"
+#include "heronshift/later.hpp"
+#include "heronshift/membership/view.hpp"
+#include "heronshift/metrics/metrics.hpp"
+#include "heronshift/peers/peers.hpp"
+#include "heronshift/store/store.hpp"
+
+#include <compare>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace heronshift::membership {
+
+// How well a controller could hold the office; greater is fitter. First the store, then workers that it
+// reaches itself, then those it reaches through another controller, then the cloud.
+struct Standing {
+    int store = 0, zones = 0, zones_by_others = 0, cloud = 0;
+    auto operator<=>(const Standing&) const = default;
+};
+std::string say(const Standing& s);
+
+class Membership {
+public:
+    class Host {
+    public:
+        virtual ~Host() = default;
+        [[nodiscard]] virtual const std::string& holder() const = 0;
+        [[nodiscard]] virtual std::uint64_t holder_term() const = 0;
+        [[nodiscard]] virtual bool sees_office() const = 0; // the store told this node who holds it
+        [[nodiscard]] virtual bool acts() const = 0;
+        [[nodiscard]] virtual double acts_since() const = 0;
+        // Machines by zone that should report to this node; while it acts.
+        [[nodiscard]] virtual std::map<std::string, std::size_t> machines_by_zone() const = 0;
+    };
+    Membership(const Settings& s, Later& later, store::StateStore& store, Executor& executor, Peers& peers, Host& host);
+
+    void tick();
+    // Evidence from those who use the links.
+    void store_answered(bool ok);
+    void cloud_answered(bool ok);
+    void peer_answered(const std::string& name, bool ok);
+    void report_came(const std::string& zone, const std::string& addr); // from the machine itself
+    void report_relayed(const std::string& zone);                       // through another controller
+    void machine_answered() {
+        heard_at_ = later_.now();
+    }
+    void exchanged(const HttpRequest& r, const Responder& res); // POST /peer/view
+
+    // What is thought of this node's own links.
+    [[nodiscard]] Reach store() const {
+        return store_.reach();
+    }
+    [[nodiscard]] Reach zone(const std::string& name) const;
+    [[nodiscard]] bool any_zone_lost() const;
+    [[nodiscard]] bool all_zones_lost() const;
+    [[nodiscard]] Reach peer(const std::string& name) const;
+    // The last sign of any worker, whichever way it came.
+    [[nodiscard]] double worker_heard_at() const {
+        return heard_at_;
+    }
+
+    // Of the others. Alive: its view came a short while ago.
+    [[nodiscard]] bool alive(const std::string& name) const;
+    [[nodiscard]] bool all_alive() const;
+    // The fittest of those alive, if it is surely fitter than this node.
+    [[nodiscard]] std::optional<std::string> fitter() const;
+    [[nodiscard]] Standing own() const;
+    [[nodiscard]] Standing standing(const std::string& peer) const;
+    // A peer that reaches the store and is reached from here: the one named, if it is one of them.
+    [[nodiscard]] std::optional<std::string> with_store(const std::string& rather) const;
+    // A peer that reaches the workers of a zone and is reached from here.
+    [[nodiscard]] std::optional<std::string> way_to(const std::string& zone);
+    // Whether a worker of this zone should report to the holder itself: so unless the holder says it
+    // does not hear them.
+    [[nodiscard]] bool holder_reaches(const std::string& holder, const std::string& zone) const;
+    // For how long this node leaves an office that it sees free to others.
+    [[nodiscard]] double yields_s() const;
+    // Can do something for users: by itself or through another, or nobody can.
+    [[nodiscard]] bool of_use() const;
+    // Who holds the office by what a peer was told by the store; none: nobody says so.
+    struct Hearsay {
+        std::string holder;
+        std::uint64_t term = 0;
+    };
+    [[nodiscard]] std::optional<Hearsay> office() const;
+
+    [[nodiscard]] std::vector<metrics::Value> metrics() const;
+
+private:
+    struct Zone {
+        explicit Zone(const Settings& s);
+        Link in, out; // reports that should come; requests that should be answered
+        double heard_at = -1, relayed_at = -1, trusted_at = -1; // a report of its own; another's; taken for well again
+        struct Sample {
+            std::string addr;
+            double at = 0;
+        };
+        std::vector<Sample> samples;
+        std::size_t next_sample = 0;
+        int probes = 0, answered = 0; // of the round under way
+    };
+    struct Other {
+        explicit Other(const Settings& s);
+        Link link;
+        View view;
+        double at = -1; // when the view came; below zero: never
+        bool asking = false;
+    };
+    [[nodiscard]] View own_view() const;
+    [[nodiscard]] Standing standing(const View& v, bool doubt) const;
+    [[nodiscard]] Reach reach(const Zone& z) const;
+    void trust(Zone& z);
+    [[nodiscard]] bool fresh(const Other& o) const;
+    void took(View&& v);
+    void exchange();
+    void probe();
+    void probe_zone(const std::string& name, Zone& z);
+    void probed(const std::string& zone, bool& any, std::optional<bool> ok);
+    void watch_silence();
+    void changed(const std::string& what, Reach to);
+    Zone* find_zone(const std::string& name);
+
+    const Settings& s_;
+    Later& later_;
+    store::StateStore& state_;
+    Executor& executor_;
+    Peers& peers_;
+    Host& host_;
+    Link store_, cloud_;
+    double store_asked_at_ = -1, heard_at_ = -1;
+    std::map<std::string, Zone> zones_;
+    std::map<std::string, Other> others_;
+    double next_exchange_ = 0, next_probe_ = 0, next_silence_ = 0, next_cloud_ = 0;
+    bool asking_store_ = false, urgent_ = false;
+    std::size_t turn_ = 0; // among those that could relay
+    std::uint64_t exchanges_ = 0, probes_ = 0, changes_ = 0;
+};
+
+} // namespace heronshift::membership
--- /dev/null
+++ b/include/heronshift/membership/view.hpp
@@ -0,0 +1,34 @@
+// What one controller says of its links to another, and its words on the way: POST /peer/view, JSON. What
+// a reader does not know it leaves out, and what it misses it takes for unknown.
+#pragma once
+
+#include "heronshift/membership/link.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heronshift::membership {
+
+inline constexpr const char* peer_view = "/peer/view";
+inline constexpr std::size_t most_samples = 4; // of the machines of a zone, to be asked whether they answer
+
+struct View {
+    std::string node;
+    Reach store = Reach::unknown, cloud = Reach::unknown;
+    std::map<std::string, Reach> zones;                       // their workers
+    std::map<std::string, Reach> peers;                       // who answers this node
+    std::map<std::string, std::vector<std::string>> machines; // addresses of some that were heard of lately, by zone
+    // The office: who holds it by what the store told this node itself (sees_office), or by hearsay.
+    std::string holder;
+    std::uint64_t term = 0;
+    bool sees_office = false, acts = false;
+};
+
+std::string to_body(const View& v);
+std::optional<View> view(std::string_view body); // none: not one
+
+} // namespace heronshift::membership
--- a/include/heronshift/metrics/metrics.hpp
+++ b/include/heronshift/metrics/metrics.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace heronshift::metrics {
@@ -49,6 +50,7 @@
 struct Value { // a name that ends in _total is a counter's, all others are gauges'
     std::string name, help;
     double value = 0;
+    std::vector<std::pair<std::string, std::string>> labels = {}; // values of one name follow each other
 };
 struct Timed {
     std::string name, help;
--- a/include/heronshift/metrics/timings.hpp
+++ b/include/heronshift/metrics/timings.hpp
@@ -9,6 +9,7 @@
     Latency submit, report, commit, step, launch;
     FirstLaunches first_launches;
     std::uint64_t requests = 0, refused = 0;
+    std::uint64_t relayed = 0, sent_by_others = 0; // for another controller; by another controller
 };
 
 } // namespace heronshift::metrics
--- a/include/heronshift/node/controller.hpp
+++ b/include/heronshift/node/controller.hpp
@@ -10,6 +10,8 @@
 #include "heronshift/cloud/cloud_desk.hpp"
 #include "heronshift/core/core.hpp"
 #include "heronshift/gateway/gateway.hpp"
+#include "heronshift/membership/membership.hpp"
+#include "heronshift/membership/watched.hpp"
 #include "heronshift/office/office.hpp"
 #include "heronshift/replay/command_log.hpp"
 
@@ -20,7 +22,11 @@
 
 namespace heronshift {
 
-class Controller final : office::Office::Host, gateway::Gateway::Host, agents::Desk::Host, cloud::CloudDesk::Host {
+class Controller final : office::Office::Host,
+                         gateway::Gateway::Host,
+                         agents::Desk::Host,
+                         cloud::CloudDesk::Host,
+                         membership::Membership::Host {
 public:
     struct Parts { // all are needed
         std::unique_ptr<store::StateStore> state;
@@ -53,7 +59,7 @@
         return later_;
     }
     [[nodiscard]] store::StateStore& state() {
-        return *store_;
+        return store_;
     }
     // Until when, by its clock, this node may act if it hears nothing more; 0: it may not.
     [[nodiscard]] double acts_until() const {
@@ -87,8 +93,19 @@
     [[nodiscard]] const std::vector<MachineType>& types() const override {
         return cloud_.types();
     }
-    void worker_heard() override {
-        office_.worker_heard();
+    [[nodiscard]] std::uint64_t holder_term() const override {
+        return office_.holder_term();
+    }
+    [[nodiscard]] bool sees_office() const override {
+        return office_.sees_office();
+    }
+    [[nodiscard]] double acts_since() const override {
+        return office_.taken_at();
+    }
+    [[nodiscard]] std::string zone_of(const std::string& machine) const override;
+    [[nodiscard]] std::map<std::string, std::size_t> machines_by_zone() const override;
+    void cloud_answered(bool ok) override {
+        members_.cloud_answered(ok);
     }
     void stored(JobStored&& j) override;
     void push(Command c) override;
@@ -101,9 +118,10 @@
     std::shared_ptr<const Clock> clock_;
     Later later_;
     metrics::Timings took_;
-    std::unique_ptr<store::StateStore> store_;
+    membership::WatchedStore store_;
     std::unique_ptr<Executor> executor_;
-    std::unique_ptr<Peers> peers_;
+    membership::WatchedPeers peers_;
+    membership::Membership members_;
     office::Office office_;
     gateway::Gateway gateway_;
     agents::Desk desk_;
--- a/include/heronshift/office/office.hpp
+++ b/include/heronshift/office/office.hpp
@@ -2,14 +2,16 @@
 // counts terms and transactions and outlives the hold. See docs/safety.md.
 //
 // Owns: who is thought to hold the office, this controller's hold and tenancy, the term, the round's
-// count and the transactions on the way. May call the store, the peers and what follows the records;
-// never a user, a machine or the core: what it has to say goes to its Host. Knows nothing of what users
+// count and the transactions on the way. May call the store, the peers, membership (for who is fitter: a
+// hint) and what follows the records; never a user, a machine or the core: what it has to say goes to its
+// Host. Knows nothing of what users
 // ask and nothing of what a transaction is about.
 #pragma once
 
 #include "heronshift/budget.hpp"
 #include "heronshift/config.hpp"
 #include "heronshift/later.hpp"
+#include "heronshift/membership/membership.hpp"
 #include "heronshift/messages.hpp"
 #include "heronshift/office/commits.hpp"
 #include "heronshift/office/reader.hpp"
@@ -35,7 +37,8 @@
         virtual void committed(TxnOutcome outcome) = 0;
         virtual std::size_t machines_up() const = 0; // that should be heard from
     };
-    Office(const Settings& s, Later& later, store::StateStore& store, Peers& peers, metrics::Timings& took, Host& host);
+    Office(const Settings& s, Later& later, store::StateStore& store, Peers& peers,
+           const membership::Membership& members, metrics::Timings& took, Host& host);
 
     void start();
     void tick();
@@ -43,9 +46,8 @@
     void commit(Commit c) {
         commits_.send(std::move(c));
     }
-    void step_down(const std::string& why);
-    void worker_heard() {
-        workers_heard_ = later_.now();
+    void step_down(const std::string& why) {
+        end_term(why, {});
     }
 
     // This node may act as holder at this moment.
@@ -62,29 +64,43 @@
     [[nodiscard]] const std::string& holder() const { // as far as this node knows; may be empty
         return holder_;
     }
-    [[nodiscard]] std::uint64_t term() const { // of that holder
+    [[nodiscard]] std::uint64_t holder_term() const {
         return holder_term_;
     }
+    [[nodiscard]] bool sees_office() const { // the store told it to this node, a short while ago
+        return state_ == State::held || (seen_at_ >= 0 && later_.now() - seen_at_ < 2 * s_.report_s &&
+                                         members_.store() != membership::Reach::lost);
+    }
+    [[nodiscard]] double taken_at() const {
+        return taken_at_;
+    }
+    [[nodiscard]] std::vector<metrics::Value> metrics() const;
 
     // What peers ask.
     void asked_to_promise(const HttpRequest& r, const Responder& res);
+    void asked_to_take(const HttpRequest& r, const Responder& res);
 
 private:
     enum class State : std::uint8_t { standby, acquiring, loading, held };
     void watch();
     void watch_again(double delay_s);
     void seen(const store::Answer& r);
-    void ask_for_holder();
+    void hear_of_holder();
     void acquire();
     void acquire_failed();
     void claim(std::uint64_t term, std::uint64_t round_stamp);
     void took();
     void renew();
+    void consider_others();
+    [[nodiscard]] bool is_deaf(double t) const;
+    void end_term(const std::string& why, const std::vector<std::string>& successors);
+    void offer(const std::string& body, std::vector<std::string> to);
 
     const Settings& s_;
     Later& later_;
     store::StateStore& store_;
     Peers& peers_;
+    const membership::Membership& members_;
     Host& host_;
     Tenancy tenancy_;
     Reader reader_;
@@ -93,8 +109,10 @@
     std::string holder_;
     std::uint64_t holder_term_ = 0, hold_ = 0, term_ = 0;
     std::uint64_t generation_ = 0; // of what this node is to the office: late answers of an earlier one are dropped
-    double hold_sent_ = 0, next_renew_ = 0, taken_at_ = 0, workers_heard_ = 0, resting_until_ = 0;
-    bool carried_ = false; // by promises, said once a term
+    double hold_sent_ = 0, next_renew_ = 0, taken_at_ = 0, next_look_ = 0;
+    double seen_at_ = -1, known_at_ = -1, free_since_ = -1, fitter_since_ = -1; // below zero: not so
+    bool carried_ = false;                                                      // by promises, said once a term
+    std::uint64_t takes_ = 0, handovers_ = 0, deaf_ends_ = 0;
 };
 
 } // namespace heronshift::office
--- a/include/heronshift/office/tenancy.hpp
+++ b/include/heronshift/office/tenancy.hpp
@@ -25,7 +25,7 @@
 
     // As holder.
     void begin() {
-        hold_until_ = promised_until_ = 0, promises_.clear();
+        hold_until_ = promised_until_ = 0, renewed_ = 0, promises_.clear();
     }
     void hold_extended(double sent);                                 // the store has said so
     bool promised(const std::string& peer, double sent, double now); // true: all carry us on
@@ -35,6 +35,9 @@
     [[nodiscard]] double until() const {
         return hold_until_ > promised_until_ ? hold_until_ : promised_until_;
     }
+    [[nodiscard]] double renewed_at() const { // when the last renewal that succeeded was sent
+        return renewed_;
+    }
     // Promises are asked for while the hold is not being renewed.
     [[nodiscard]] bool wants_promises(double now) const;
 
--- a/include/heronshift/peers/peers.hpp
+++ b/include/heronshift/peers/peers.hpp
@@ -11,6 +11,9 @@
 
 inline constexpr const char* peer_prefix = "/peer";
 
+// Requests of one kind never wait behind those of another.
+enum class Lane : std::uint8_t { control, users, relays };
+
 class Peers {
 public:
     using Done = std::function<void(HttpReply&&)>;
@@ -22,8 +25,8 @@
 
     // The path begins with /peer. Called back once, by timeout_s at about the latest, not after the
     // end; status 0: no answer, and `sent` says whether it may have reached the peer.
-    virtual void request(const std::string& name, const char* method, const std::string& path, std::string body,
-                         double timeout_s, Done done) = 0;
+    virtual void request(Lane lane, const std::string& name, const char* method, const std::string& path,
+                         std::string body, double timeout_s, Done done) = 0;
     virtual void sweep() {} // ends what takes too long; some thirty times in report_s
 };
 
@@ -31,15 +34,15 @@
 class HttpPeers final : public Peers {
 public:
     HttpPeers(uv_loop_t* loop, const std::vector<Peer>& all);
-    void request(const std::string& name, const char* method, const std::string& path, std::string body,
+    void request(Lane lane, const std::string& name, const char* method, const std::string& path, std::string body,
                  double timeout_s, Done done) override;
     void sweep() override {
-        client_.sweep();
+        for (auto* c : {&control_, &users_, &relays_}) c->sweep();
     }
 
 private:
     std::unordered_map<std::string, std::string> addr_;
-    HttpClient client_;
+    HttpClient control_, users_, relays_;
 };
 
 } // namespace heronshift
--- a/src/agents/desk.cpp
+++ b/src/agents/desk.cpp
@@ -2,13 +2,27 @@
 
 #include "heronshift/codec.hpp"
 
+#include <algorithm>
 #include <spdlog/spdlog.h>
 
 namespace heronshift::agents {
+namespace {
 
-Desk::Desk(const Settings& s, Later& later, Executor& executor, metrics::Timings& took, Host& host)
-    : s_(s), later_(later), executor_(executor), took_(took), host_(host) {
-    executor_.reports_to([this](Report&& r, Executor::ReportDone done) { report(std::move(r), std::move(done)); });
+constexpr double worker_waits_s = 4;           // for the answer to a report, says the protocol
+constexpr double relay_s = worker_waits_s / 2; // so that there is time for both ways
+constexpr std::size_t most_remembered = 4096;  // machines that were sent to the holder
+constexpr std::string_view peer_relay = "/peer/relay?to=";
+
+} // namespace
+
+Desk::Desk(const Settings& s, Later& later, Executor& executor, Peers& peers, membership::Membership& members,
+           metrics::Timings& took, Host& host)
+    : s_(s), later_(later), executor_(executor), peers_(peers), members_(members), took_(took), host_(host),
+      most_relays_(static_cast<std::size_t>(s.fd_limit) / 20) {
+    executor_.reports_to([this](Report&& r, Executor::ReportDone done) {
+        members_.report_came(r.zone, r.addr);
+        report(std::move(r), std::move(done));
+    });
 }
 
 std::optional<ReportAnswer> Desk::elsewhere() const {
@@ -18,18 +32,28 @@
     return ReportAnswer{other ? 421 : 503, 0, {}, other ? holder : ""};
 }
 
-void Desk::beat(const HttpRequest& r, const Responder& res) {
+void Desk::beat(HttpRequest&& r, const Responder& res, bool relayed) {
     const auto answer = [res](const ReportAnswer& a) {
         if (a.status == 200) return res.send(200, codec::orders(a.fence, a.orders));
         if (a.status == 421) return res.send(421, codec::redirect(a.holder));
         res.send(a.status, "{}");
     };
-    if (const auto other = elsewhere(); other) return answer(*other);
+    const auto other = elsewhere();
+    if (other && (relayed || other->status != 421)) return answer(*other);
     auto read = codec::report(r.body);
     if (!read) {
         spdlog::warn("malformed report");
         return res.send(400, codec::error_answer("malformed report"));
     }
+    if (other) {
+        const auto way = way_of(*read);
+        if (way == Way::relay) return relay(std::move(r.body), res);
+        return answer(way == Way::holder ? *other : ReportAnswer{});
+    }
+    if (relayed)
+        members_.report_relayed(read->zone);
+    else
+        members_.report_came(read->zone, read->addr);
     report(std::move(*read), answer);
 }
 
@@ -37,10 +61,50 @@
     if (const auto other = elsewhere(); other) return done(*other);
     const auto h = ++handle_seq_;
     open_[h] = {std::move(done), later_.now()};
-    host_.worker_heard();
     host_.push(Beat{std::move(r), h});
 }
 
+// A report goes through this node if the holder says that it does not hear from there, or if its machine
+// was sent to the holder and is back: once if that went fast (refused, or not ready), for a lease if it
+// waited there in vain. Where the holder cannot be reached from here either, the machine tries the next
+// node. (Two nodes that knew of an old holder only had sent machines round between them until their leases
+// ran out.)
+Desk::Way Desk::way_of(const Report& r) {
+    const auto& holder = host_.holder();
+    const bool reached = members_.peer(holder) != membership::Reach::lost;
+    if (reached && !members_.holder_reaches(holder, r.zone)) return Way::relay;
+    const double t = later_.now();
+    if (sent_away_.size() >= most_remembered) sent_away_.clear();
+    auto& last = sent_away_[r.machine];
+    if (last.holder == holder) {
+        const double since = t - last.at;
+        const bool back = last.at >= 0 && since < s_.lease_s / 2;
+        if (back && since >= worker_waits_s) last.relay_until = t + s_.lease_s;
+        if (back || t < last.relay_until) {
+            last.at = -1;
+            return reached ? Way::relay : Way::next;
+        }
+    }
+    last = {holder, t, -1};
+    return Way::holder;
+}
+
+void Desk::relay(std::string body, const Responder& res) {
+    if (relaying_ >= most_relays_) {
+        ++took_.refused;
+        return res.send(503, "{}");
+    }
+    ++relaying_;
+    ++took_.relayed;
+    peers_.request(Lane::relays, host_.holder(), "POST", peer_prefix + std::string(codec::path_report), std::move(body),
+                   relay_s, [this, res](HttpReply&& r) {
+                       --relaying_;
+                       // Whatever the holder said, and nothing that it did not say.
+                       if (r.status == 0) return res.send(503, "{}");
+                       res.send(r.status, r.body);
+                   });
+}
+
 void Desk::left_office() {
     for (const auto& [h, open] : std::exchange(open_, {})) open.done({});
 }
@@ -66,10 +130,50 @@
 
 void Desk::send(const SendOrders& o, std::function<void(OrdersAnswered&&)> done) {
     note_launches(o.orders);
+    if (members_.any_zone_lost())
+        if (const auto zone = host_.zone_of(o.machine); members_.zone(zone) == membership::Reach::lost)
+            if (const auto by = members_.way_to(zone); by) return send_by(*by, o, std::move(done));
     executor_.command(o, s_.report_s / 2, [this, done = std::move(done)](OrdersAnswered&& a) {
-        if (a.status != 0) host_.worker_heard();
+        if (a.status != 0) members_.machine_answered();
         done(std::move(a));
     });
 }
 
+void Desk::send_by(const std::string& peer, const SendOrders& o, std::function<void(OrdersAnswered&&)> done) {
+    ++took_.sent_by_others;
+    peers_.request(Lane::relays, peer, "POST", std::string(peer_relay) + o.addr,
+                   codec::commands(o.fence, o.tenure, o.orders), s_.report_s / 2,
+                   [this, done = std::move(done), id = o.machine, batch = o.batch](HttpReply&& r) {
+                       OrdersAnswered a{id, batch, r.status, r.sent, std::nullopt};
+                       if (r.status == 200 || r.status == 409) {
+                           a.report = codec::report(r.body);
+                           members_.machine_answered();
+                       } else if (r.status == 503) { // the other surely did not pass it on
+                           a.status = 0;
+                           a.sent = false;
+                       } else {
+                           a.status = 0;
+                       }
+                       done(std::move(a));
+                   });
+}
+
+void Desk::pass_on(HttpRequest&& r, const Responder& res) {
+    constexpr std::string_view to = "to=";
+    if (r.method != "POST") return res.send(405, codec::error_answer("wrong method"));
+    if (!r.query.starts_with(to)) return res.send(400, codec::error_answer("to: the machine's address is needed"));
+    if (relaying_ >= most_relays_) {
+        ++took_.refused;
+        return res.send(503, codec::not_now);
+    }
+    ++relaying_;
+    ++took_.relayed;
+    executor_.pass_on(r.query.substr(to.size()), std::move(r.body), s_.report_s / 3, [this, res](HttpReply&& a) {
+        --relaying_;
+        if (a.status != 0) return res.send(a.status, a.body);
+        // 503 says that nothing was executed, so it is said only if nothing was sent.
+        res.send(a.sent ? 504 : 503, codec::error_answer("no answer of the machine"));
+    });
+}
+
 } // namespace heronshift::agents
--- a/src/cloud/cloud_desk.cpp
+++ b/src/cloud/cloud_desk.cpp
@@ -44,7 +44,8 @@
 
 void CloudDesk::rent(const Rent& wanted) {
     request([this, gen = generation_, wanted](bool go) {
-        auto done = [this, gen](Rented&& c) {
+        auto done = [this, gen, go](Rented&& c) {
+            if (go) host_.cloud_answered(c.outcome == RentOutcome::rented || c.outcome == RentOutcome::no_capacity);
             if (gen != generation_) return;
             const double delay = c.outcome == RentOutcome::rented ? 0 : s_.report_s / 6;
             later_.after(delay, [this, gen, c = std::move(c)]() mutable {
@@ -58,7 +59,8 @@
 
 void CloudDesk::release(const Release& wanted) {
     request([this, gen = generation_, wanted](bool go) {
-        auto done = [this, gen](Released&& c) {
+        auto done = [this, gen, go](Released&& c) {
+            if (go) host_.cloud_answered(c.ok);
             if (gen == generation_) host_.push(std::move(c));
         };
         if (!go) return done({wanted.machines, false});
@@ -75,6 +77,7 @@
     request([this, gen = generation_, since](bool go) {
         if (!go) return;
         executor_.list(since, s_.report_s * 2, [this, gen](std::optional<codec::MachinePage>&& page) {
+            host_.cloud_answered(page.has_value());
             if (gen != generation_ || !page) return;
             std::string last;
             for (auto& m : page->machines) {
@@ -105,6 +108,7 @@
 
 void CloudDesk::from_cloud() {
     executor_.types(s_.report_s * 2, [this](std::optional<std::vector<MachineType>>&& types) {
+        host_.cloud_answered(types.has_value());
         learning_types_ = false;
         if (!types) return;
         const bool first = types_.empty();
--- a/src/executor/http.cpp
+++ b/src/executor/http.cpp
@@ -17,6 +17,16 @@
                     });
 }
 
+void HttpExecutor::probe(const std::string& addr, double timeout_s, std::function<void(std::optional<bool>)> done) {
+    probes_.request(addr, "GET", std::string(codec::path_status), "", timeout_s,
+                    [done = std::move(done)](HttpReply&& r) { done(r.status == 200); });
+}
+
+void HttpExecutor::pass_on(const std::string& addr, std::string body, double timeout_s,
+                           std::function<void(HttpReply&&)> done) {
+    agents_.request(addr, "POST", std::string(codec::path_commands), std::move(body), timeout_s, std::move(done));
+}
+
 void HttpExecutor::rent(const Rent& ask, double timeout_s, std::function<void(Rented&&)> done) {
     cloud_.request(cloud_at_, "POST", std::string(codec::path_rentals),
                    codec::rental(ask.claim, ask.type, ask.zone, ask.spot, ask.count), timeout_s,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,12 +13,14 @@
 constexpr std::size_t most_lookups = 100;     // under way
 constexpr std::size_t most_remembered = 2000; // jobs accepted lately
 constexpr int most_store_tries = 3;           // while the store's budget is spent
+constexpr double look_up_s = 2, submit_s = 5; // that a user waits, says the protocol
+constexpr double share_of_wait = 0.8;         // for the others that are asked
 
 } // namespace
 
-Gateway::Gateway(const Settings& s, Later& later, store::StateStore& store, Peers& peers, metrics::Timings& took,
-                 Host& host)
-    : s_(s), later_(later), store_(store), peers_(peers), took_(took), host_(host),
+Gateway::Gateway(const Settings& s, Later& later, store::StateStore& store, Peers& peers,
+                 const membership::Membership& members, metrics::Timings& took, Host& host)
+    : s_(s), later_(later), store_(store), peers_(peers), members_(members), took_(took), host_(host),
       // What a user's read may take when this node is alone with the store.
       reads_(s.state_rps / 4, s.state_rps / 6), submissions_(s.state_write_rps / 5, s.state_write_rps / 3) {}
 
@@ -36,8 +38,9 @@
         if (!get) return wrong_method();
         // An id that can't have been accepted needs no reading.
         if (!codec::valid_job_id(id)) return res.send(404, error_answer("no such job"));
-        if (passed_on || host_.acting() != nullptr) return poll(id, std::move(res), passed_on);
-        return pass_on(std::move(r), std::move(res), [this, id](Responder x) { poll(id, std::move(x), false); });
+        if (passed_on || host_.acting() != nullptr) return poll(id, std::move(res));
+        return pass_on(std::make_shared<HttpRequest>(std::move(r)), std::move(res), ways(true, true), look_up_s,
+                       [this, id](Responder x) { poll(id, std::move(x)); });
     }
     if (rest.substr(slash + 1) != codec::suffix_cancel) return res.send(404, error_answer("no such path"));
     if (!post) return wrong_method();
@@ -62,13 +65,31 @@
     for (auto& [h, c] : std::exchange(cancels_, {})) c.res.send(503, not_now, retry_soon_s);
 }
 
-// Passes a request on to the holder; what it does not answer is handled here.
-void Gateway::pass_on(HttpRequest&& r, Responder res, std::function<void(Responder)> otherwise) {
-    const auto& to = host_.holder();
-    if (to.empty() || to == s_.name) return otherwise(std::move(res));
-    peers_.request(to, r.method == "GET" ? "GET" : "POST", peer_prefix + r.path, std::move(r.body), s_.report_s / 3,
-                   [res, otherwise = std::move(otherwise)](HttpReply&& a) {
-                       if (a.status == 0 || a.status == 503) return otherwise(res);
+// Who else could answer: the holder; where the store does not serve this node, one that it serves.
+std::vector<std::string> Gateway::ways(bool to_holder, bool to_store) const {
+    std::vector<std::string> out;
+    const auto& holder = host_.holder();
+    if (to_holder && !holder.empty() && holder != s_.name && members_.peer(holder) != membership::Reach::lost)
+        out.push_back(holder);
+    if (to_store && members_.store() == membership::Reach::lost)
+        if (const auto by = members_.with_store(holder); by && (out.empty() || *by != out.front())) out.push_back(*by);
+    return out;
+}
+
+// Passes a request on, to one after the other; what none answers is handled here. Each can be asked again
+// without harm: a job is accepted once, and cancelled by one.
+void Gateway::pass_on(std::shared_ptr<const HttpRequest> r, Responder res, std::vector<std::string> to, double wait_s,
+                      Otherwise otherwise) {
+    if (to.empty()) return otherwise(std::move(res));
+    const double each_s = std::min(s_.report_s / 3, share_of_wait * wait_s / static_cast<double>(to.size()));
+    const auto first = to.front();
+    to.erase(to.begin());
+    const char* method = r->method == "GET" ? "GET" : "POST";
+    const double left_s = wait_s - each_s;
+    peers_.request(Lane::users, first, method, peer_prefix + r->path, r->body, each_s,
+                   [this, r, res, to = std::move(to), left_s, otherwise = std::move(otherwise)](HttpReply&& a) mutable {
+                       if (a.status == 0 || a.status == 503)
+                           return pass_on(std::move(r), std::move(res), std::move(to), left_s, std::move(otherwise));
                        res.send(a.status, a.body, a.status == 429 ? retry_soon_s : 0);
                    });
 }
@@ -105,13 +126,11 @@
     });
 }
 
-void Gateway::poll(const std::string& id, Responder res, bool passed_on) {
-    if (const auto* core = host_.acting(); core != nullptr) {
+// The store's answer is as new as any: what was told was stored before.
+void Gateway::poll(const std::string& id, Responder res) {
+    if (const auto* core = host_.acting(); core != nullptr)
         if (const auto v = core->view(id); v)
             return res.send(200, codec::job_answer(id, v->status, v->done, v->running));
-    } else if (passed_on) {
-        return res.send(503, not_now, retry_soon_s);
-    }
     look_up(id, [id, res](Found f) {
         if (!f.known) return res.send(503, not_now, retry_soon_s);
         if (f.status.empty()) return res.send(404, error_answer("no such job"));
@@ -123,7 +142,8 @@
     if (host_.acting() == nullptr) {
         if (passed_on) return res.send(503, not_now, retry_soon_s);
         // Only the holder decides, so that its answers from memory are never old.
-        return pass_on(std::move(r), std::move(res), [](Responder x) { x.send(503, not_now, retry_soon_s); });
+        return pass_on(std::make_shared<HttpRequest>(std::move(r)), std::move(res), ways(true, false), look_up_s,
+                       [](Responder x) { x.send(503, not_now, retry_soon_s); });
     }
     ask_core_to_cancel(id, std::move(res));
 }
@@ -189,6 +209,10 @@
 }
 
 void Gateway::submit(HttpRequest&& r, Responder res, bool passed_on) {
+    // Where the store is known not to serve this node, nothing can be found out here.
+    if (const auto others = passed_on ? std::vector<std::string>() : ways(false, true); !others.empty())
+        return pass_on(std::make_shared<HttpRequest>(std::move(r)), std::move(res), others, submit_s,
+                       [](Responder x) { x.send(503, not_now, retry_soon_s); });
     auto parsed = codec::submission(r.body);
     std::string refusal;
     int status = 0;
@@ -211,8 +235,9 @@
         if (!refusal.empty()) status = 422;
     }
     if (status != 0) return refuse_unless_known(id, status, refusal, res);
-    auto s = std::make_shared<Submission>(
-        Submission{std::move(std::get<JobSpec>(parsed)), std::move(r), std::move(res), passed_on, later_.now(), 0, 0});
+    auto s = std::make_shared<Submission>(Submission{std::move(std::get<JobSpec>(parsed)),
+                                                     std::make_shared<HttpRequest>(std::move(r)), std::move(res),
+                                                     passed_on, later_.now(), 0, 0});
     s->spec.needs.empty() ? accept(s) : check_needs(s);
 }
 
@@ -311,7 +336,7 @@
     };
     // A process of the version before would take a chained job for one that may start.
     if (s->passed_on || waits || r.status == 429) return refuse(s->res);
-    pass_on(std::move(s->request), s->res, refuse);
+    pass_on(s->request, s->res, ways(true, true), submit_s, refuse);
 }
 
 } // namespace heronshift::gateway
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,414 @@
+#include "heronshift/membership/membership.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace heronshift::membership {
+namespace {
+
+// Ratios to report_s, in which each machine reports once, give or take a quarter.
+constexpr double exchange_reports = 1.0 / 3, exchange_wait = 1.0 / 4, soon = 1.0 / 30;
+constexpr double fresh_reports = 1; // a view older than three exchanges says nothing
+constexpr double probe_reports = 1.0 / 2, probe_wait = 1.0 / 4;
+constexpr double store_reports = 1.0 / 3; // without an answer: it is asked
+constexpr double silence_reports = 1.5;   // without a report of a zone's machines: it is cut off
+constexpr double silence_few_reports = 2.5;
+constexpr double samples_leases = 2;     // how long an address is worth asking
+constexpr double yield_leases = 1.0 / 4; // an office that a fitter one should take is left to it for so long
+constexpr double stagger_reports = 1.0 / 40;
+constexpr std::size_t few_machines = 4;
+constexpr int probes_a_round = 2;
+
+Patience store_patience(const Settings& s) {
+    return {s.report_s / 4, 2, s.report_s / 4};
+}
+Patience peer_patience(const Settings& s) {
+    return {s.report_s / 2, 2, s.report_s / 4};
+}
+Patience zone_patience(const Settings& s) {
+    return {s.report_s, 2, s.report_s};
+}
+
+Patience silence_patience(const Settings& s) {
+    return {0, 1, s.report_s / 2}; // the silence itself is what lasted
+}
+
+const char* word(Reach r) {
+    return r == Reach::works ? "works" : r == Reach::lost ? "lost" : "not known";
+}
+
+} // namespace
+
+std::string say(const Standing& s) {
+    return fmt::format("store {}, zones {}, through others {}", s.store, s.zones, s.zones_by_others);
+}
+
+Membership::Zone::Zone(const Settings& s) : in(silence_patience(s)), out(zone_patience(s)) {}
+Membership::Other::Other(const Settings& s) : link(peer_patience(s)) {}
+
+Membership::Membership(const Settings& s, Later& later, store::StateStore& store, Executor& executor, Peers& peers,
+                       Host& host)
+    : s_(s), later_(later), state_(store), executor_(executor), peers_(peers), host_(host), store_(store_patience(s)),
+      cloud_(store_patience(s)) {
+    for (const auto& z : s.zones) zones_.emplace(z, s);
+    for (const auto& p : s.peers) others_.emplace(p.name, s);
+}
+
+Membership::Zone* Membership::find_zone(const std::string& name) {
+    const auto it = zones_.find(name);
+    return it == zones_.end() ? nullptr : &it->second;
+}
+
+// --- evidence ---
+
+void Membership::changed(const std::string& what, Reach to) {
+    ++changes_;
+    urgent_ = true; // the others should know
+    spdlog::info("link to {}: {}", what, word(to));
+}
+
+void Membership::store_answered(bool ok) {
+    const double t = later_.now();
+    store_asked_at_ = t;
+    if (ok ? store_.worked(t) : store_.failed(t)) changed("the state service", store_.reach());
+}
+
+void Membership::cloud_answered(bool ok) {
+    const double t = later_.now();
+    if (ok ? cloud_.worked(t) : cloud_.failed(t)) changed("the cloud", cloud_.reach());
+}
+
+void Membership::peer_answered(const std::string& name, bool ok) {
+    const auto it = others_.find(name);
+    if (it == others_.end()) return;
+    auto& l = it->second.link;
+    if (ok ? l.worked(later_.now()) : l.failed(later_.now())) changed("controller " + name, l.reach());
+}
+
+void Membership::report_came(const std::string& zone, const std::string& addr) {
+    const double t = later_.now();
+    heard_at_ = t;
+    auto* z = find_zone(zone);
+    if (z == nullptr) return;
+    z->heard_at = t;
+    if (z->in.worked(t)) changed(fmt::format("workers in {}", zone), reach(*z));
+    // The same few for as long as they report: connections to them are kept.
+    for (auto& x : z->samples)
+        if (x.addr == addr) {
+            x.at = t;
+            return;
+        }
+    if (z->samples.size() < most_samples) return z->samples.push_back({addr, t});
+    for (auto& x : z->samples)
+        if (t - x.at > silence_reports * s_.report_s) {
+            x = {addr, t};
+            return;
+        }
+}
+
+void Membership::report_relayed(const std::string& zone) {
+    heard_at_ = later_.now();
+    if (auto* z = find_zone(zone); z != nullptr) z->relayed_at = heard_at_;
+}
+
+// --- what goes out ---
+
+void Membership::tick() {
+    const double t = later_.now();
+    if (t >= next_silence_) {
+        next_silence_ = t + s_.report_s / 10;
+        watch_silence();
+    }
+    if (t >= next_probe_ && !s_.peers.empty()) {
+        next_probe_ = t + probe_reports * s_.report_s;
+        probe();
+    }
+    if (t >= next_exchange_ || (urgent_ && t >= next_exchange_ - (exchange_reports - soon) * s_.report_s)) {
+        next_exchange_ = t + exchange_reports * s_.report_s;
+        urgent_ = false;
+        exchange();
+    }
+}
+
+// While this node acts, machines should report to it; where none does, it is cut off from them. Those that
+// report through another were told to: their silence here says nothing, so what was thought of it is tried
+// anew once requests are answered again, and after a lease in any case.
+void Membership::watch_silence() {
+    if (!host_.acts()) return;
+    const double t = later_.now();
+    for (const auto& [name, machines] : host_.machines_by_zone()) {
+        auto* z = find_zone(name);
+        if (z == nullptr || machines == 0) continue;
+        if (z->in.lost() && t - z->in.failed_at() > s_.lease_s) trust(*z);
+        const double patience = machines < few_machines ? silence_few_reports : silence_reports;
+        const double since = std::max({z->heard_at, z->relayed_at, z->trusted_at, host_.acts_since()});
+        if (t - since < patience * s_.report_s) continue;
+        if (z->in.failed(t)) changed(fmt::format("workers in {}", name), Reach::lost);
+    }
+}
+
+void Membership::trust(Zone& z) {
+    z.in = Link(silence_patience(s_));
+    z.trusted_at = later_.now();
+    urgent_ = true;
+}
+
+void Membership::probe() {
+    const double t = later_.now();
+    if (!asking_store_ && t - store_asked_at_ >= store_reports * s_.report_s) {
+        asking_store_ = true;
+        state_.get("office", s_.report_s / 4, [this](store::Answer&&) { asking_store_ = false; });
+    }
+    for (auto& [name, z] : zones_) probe_zone(name, z);
+    // The cloud's calls are few: the others look only when it is the holder that cannot.
+    const auto h = others_.find(host_.holder());
+    if (h == others_.end() || !fresh(h->second) || h->second.view.cloud != Reach::lost || t < next_cloud_) return;
+    next_cloud_ = t + s_.lease_s / 2;
+    executor_.types(s_.report_s,
+                    [this](std::optional<std::vector<MachineType>>&& types) { cloud_answered(types.has_value()); });
+}
+
+void Membership::probe_zone(const std::string& name, Zone& z) {
+    const double t = later_.now();
+    std::erase_if(z.samples, [&](const auto& x) { return t - x.at > samples_leases * s_.lease_s; });
+    if (z.probes > z.answered || z.samples.empty()) return;
+    z.probes = z.answered = 0;
+    const auto n = std::min<std::size_t>(probes_a_round, z.samples.size());
+    auto any = std::make_shared<bool>(false);
+    z.probes = static_cast<int>(n);
+    for (std::size_t i = 0; i < n; ++i) {
+        ++probes_;
+        executor_.probe(z.samples[z.next_sample++ % z.samples.size()].addr, probe_wait * s_.report_s,
+                        [this, name, any](std::optional<bool> ok) { probed(name, *any, ok); });
+    }
+}
+
+// A round in which nobody answers has failed.
+void Membership::probed(const std::string& zone, bool& any, std::optional<bool> ok) {
+    auto* z = find_zone(zone);
+    const double t = later_.now();
+    any = any || ok.value_or(false);
+    bool turned = false;
+    if (ok.value_or(false)) {
+        turned = z->out.worked(t);
+        if (turned) trust(*z);
+    }
+    if (++z->answered == z->probes && !any && ok.has_value()) turned = z->out.failed(t);
+    if (turned) changed(fmt::format("workers in {}", zone), reach(*z));
+}
+
+View Membership::own_view() const {
+    View v;
+    v.node = s_.name;
+    v.store = store_.reach();
+    v.cloud = cloud_.reach();
+    for (const auto& [name, z] : zones_) v.zones[name] = reach(z);
+    for (const auto& [name, o] : others_) v.peers[name] = o.link.reach();
+    v.holder = host_.holder();
+    v.term = host_.holder_term();
+    v.sees_office = host_.sees_office();
+    v.acts = host_.acts();
+    if (v.acts)
+        for (const auto& [name, z] : zones_)
+            for (const auto& x : z.samples) v.machines[name].push_back(x.addr);
+    return v;
+}
+
+void Membership::exchange() {
+    const auto body = to_body(own_view());
+    for (auto& [name, o] : others_) {
+        if (o.asking) continue;
+        o.asking = true;
+        ++exchanges_;
+        peers_.request(Lane::control, name, "POST", peer_view, body, exchange_wait * s_.report_s,
+                       [this, name](HttpReply&& r) {
+                           others_.at(name).asking = false;
+                           if (r.status != 200) return;
+                           if (auto v = view(r.body); v && v->node == name) took(std::move(*v));
+                       });
+    }
+}
+
+void Membership::exchanged(const HttpRequest& r, const Responder& res) {
+    auto v = view(r.body);
+    if (!v) return res.send(400, codec::error_answer("not a view"));
+    took(std::move(*v));
+    res.send(200, to_body(own_view()));
+}
+
+void Membership::took(View&& v) {
+    const auto it = others_.find(v.node);
+    if (it == others_.end()) return;
+    const double t = later_.now();
+    if (v.acts && !host_.acts())
+        for (const auto& [name, list] : v.machines) {
+            auto* z = find_zone(name);
+            if (z == nullptr || list.empty()) continue;
+            z->samples.clear();
+            for (const auto& addr : list) z->samples.push_back({addr, t});
+        }
+    it->second.view = std::move(v);
+    it->second.at = t;
+}
+
+// --- what is thought ---
+
+Reach Membership::reach(const Zone& z) const {
+    if (z.out.lost() || (host_.acts() && z.in.lost())) return Reach::lost;
+    const bool any = z.out.reach() == Reach::works || (host_.acts() && z.in.reach() == Reach::works);
+    return any ? Reach::works : Reach::unknown;
+}
+
+Reach Membership::zone(const std::string& name) const {
+    const auto it = zones_.find(name);
+    return it == zones_.end() ? Reach::unknown : reach(it->second);
+}
+
+bool Membership::any_zone_lost() const {
+    return std::any_of(zones_.begin(), zones_.end(), [this](const auto& z) { return reach(z.second) == Reach::lost; });
+}
+
+bool Membership::all_zones_lost() const {
+    return std::all_of(zones_.begin(), zones_.end(), [this](const auto& z) { return reach(z.second) == Reach::lost; });
+}
+
+Reach Membership::peer(const std::string& name) const {
+    const auto it = others_.find(name);
+    return it == others_.end() ? Reach::unknown : it->second.link.reach();
+}
+
+bool Membership::fresh(const Other& o) const {
+    return o.at >= 0 && later_.now() - o.at < fresh_reports * s_.report_s;
+}
+
+bool Membership::alive(const std::string& name) const {
+    const auto it = others_.find(name);
+    return it != others_.end() && fresh(it->second);
+}
+
+bool Membership::all_alive() const {
+    return std::all_of(others_.begin(), others_.end(), [this](const auto& o) { return fresh(o.second); });
+}
+
+// With doubt, what is not known counts as reached.
+Standing Membership::standing(const View& v, bool doubt) const {
+    const auto counts = [doubt](Reach r) { return r == Reach::works || (doubt && r == Reach::unknown); };
+    Standing out;
+    out.store = counts(v.store);
+    out.cloud = v.cloud != Reach::lost; // asked for only when the holder cannot reach it
+    for (const auto& z : s_.zones) {
+        const auto of = [&z](const View& x) {
+            const auto r = x.zones.find(z);
+            return r == x.zones.end() ? Reach::unknown : r->second;
+        };
+        if (counts(of(v))) {
+            ++out.zones;
+            continue;
+        }
+        const auto by = [&](const std::string& name, const View& x) {
+            const auto link = v.peers.find(name);
+            return name != v.node && of(x) == Reach::works && link != v.peers.end() && link->second == Reach::works;
+        };
+        bool any = v.node != s_.name && by(s_.name, own_view());
+        for (const auto& [name, o] : others_) any = any || (fresh(o) && by(name, o.view));
+        out.zones_by_others += any;
+    }
+    return out;
+}
+
+Standing Membership::own() const {
+    return standing(own_view(), true);
+}
+
+Standing Membership::standing(const std::string& peer) const {
+    const auto it = others_.find(peer);
+    return it == others_.end() || !fresh(it->second) ? Standing{} : standing(it->second.view, false);
+}
+
+std::optional<std::string> Membership::fitter() const {
+    std::optional<std::string> best;
+    auto most = own();
+    for (const auto& [name, o] : others_) {
+        if (!fresh(o) || o.link.lost()) continue;
+        if (const auto x = standing(o.view, false); x > most) {
+            most = x;
+            best = name;
+        }
+    }
+    return best;
+}
+
+double Membership::yields_s() const {
+    const auto mine = own();
+    const double yield = yield_leases * s_.lease_s;
+    int before = 0; // as fit as this node, and earlier by name
+    for (const auto& [name, o] : others_) {
+        if (!fresh(o)) continue;
+        const auto x = standing(o.view, true);
+        if (x > mine) return yield;
+        before += x == mine && name < s_.name;
+    }
+    // Deaf, and not all the others are known to be no better.
+    if (mine.zones + mine.zones_by_others == 0 && !s_.zones.empty() && !all_alive()) return yield;
+    return before * stagger_reports * s_.report_s;
+}
+
+std::optional<std::string> Membership::with_store(const std::string& rather) const {
+    std::optional<std::string> out;
+    for (const auto& [name, o] : others_) {
+        if (!fresh(o) || o.link.lost() || o.view.store != Reach::works) continue;
+        if (!out || name == rather) out = name;
+    }
+    return out;
+}
+
+std::optional<std::string> Membership::way_to(const std::string& zone) {
+    std::vector<const std::string*> ways;
+    for (const auto& [name, o] : others_) {
+        if (!fresh(o) || o.link.lost()) continue;
+        if (const auto r = o.view.zones.find(zone); r != o.view.zones.end() && r->second == Reach::works)
+            ways.push_back(&name);
+    }
+    if (ways.empty()) return {};
+    return *ways[turn_++ % ways.size()];
+}
+
+bool Membership::holder_reaches(const std::string& holder, const std::string& zone) const {
+    const auto it = others_.find(holder);
+    if (it == others_.end() || !fresh(it->second)) return true; // nothing is known to be better
+    const auto r = it->second.view.zones.find(zone);
+    return r == it->second.view.zones.end() || r->second != Reach::lost;
+}
+
+bool Membership::of_use() const {
+    if (!store_.lost() || host_.acts() || with_store("")) return true;
+    // The others are there and have no store either: an outage, in which everybody waits. Where nobody
+    // can be asked, this node may be the only one that is cut off.
+    return std::any_of(others_.begin(), others_.end(), [this](const auto& o) { return fresh(o.second); });
+}
+
+std::optional<Membership::Hearsay> Membership::office() const {
+    std::optional<Hearsay> out;
+    for (const auto& [name, o] : others_)
+        if (fresh(o) && (o.view.sees_office || o.view.acts) && (!out || o.view.term > out->term))
+            out = Hearsay{o.view.holder, o.view.term};
+    return out;
+}
+
+std::vector<metrics::Value> Membership::metrics() const {
+    const auto of = [](Reach r) { return r == Reach::works ? 1.0 : r == Reach::lost ? 0.0 : 0.5; };
+    constexpr const char* help = "whether this controller reaches it: 1 yes, 0 no, 0.5 not known";
+    std::vector<metrics::Value> out{{"heronshift_link", help, of(store_.reach()), {{"to", "state"}}},
+                                    {"heronshift_link", help, of(cloud_.reach()), {{"to", "cloud"}}}};
+    for (const auto& [name, o] : others_)
+        out.push_back({"heronshift_link", help, of(o.link.reach()), {{"to", "controller " + name}}});
+    for (const auto& [name, z] : zones_)
+        out.push_back({"heronshift_link", help, of(reach(z)), {{"to", "workers " + name}}});
+    out.push_back({"heronshift_link_changes_total", "links lost or found", static_cast<double>(changes_)});
+    out.push_back({"heronshift_views_sent_total", "to other controllers", static_cast<double>(exchanges_)});
+    out.push_back({"heronshift_probes_total", "of machines", static_cast<double>(probes_)});
+    return out;
+}
+
+} // namespace heronshift::membership
--- /dev/null
+++ b/src/membership/view.cpp
@@ -0,0 +1,94 @@
+#include "heronshift/membership/view.hpp"
+
+#include "heronshift/codec.hpp"
+
+namespace heronshift::membership {
+namespace {
+
+using codec::Json;
+
+constexpr std::size_t most_entries = 64; // of each list, whatever a peer says
+
+// Bounds on what comes from outside: names are short.
+constexpr std::size_t longest_name = 128;
+
+const char* word(Reach r) {
+    return r == Reach::works ? "works" : r == Reach::lost ? "lost" : "unknown";
+}
+
+Reach reach(const Json& j) {
+    if (!j.is_string()) return Reach::unknown;
+    const auto& s = j.get_ref<const std::string&>();
+    return s == "works" ? Reach::works : s == "lost" ? Reach::lost : Reach::unknown;
+}
+
+Json to_json(const std::map<std::string, Reach>& all) {
+    auto out = Json::object();
+    for (const auto& [name, r] : all) out[name] = word(r);
+    return out;
+}
+
+template <class F> void each(const Json& j, const char* field, F f) {
+    const auto it = j.find(field);
+    if (it == j.end() || !it->is_object()) return;
+    std::size_t n = 0;
+    for (const auto& [name, value] : it->items()) {
+        if (++n > most_entries) return;
+        if (name.size() <= longest_name) f(name, value);
+    }
+}
+
+std::string text(const Json& j, const char* field) {
+    const auto it = j.find(field);
+    return it != j.end() && it->is_string() && it->get_ref<const std::string&>().size() <= longest_name
+               ? it->get<std::string>()
+               : "";
+}
+
+bool flag(const Json& j, const char* field) {
+    const auto it = j.find(field);
+    return it != j.end() && it->is_boolean() && it->get<bool>();
+}
+
+} // namespace
+
+std::string to_body(const View& v) {
+    return Json{{"node", v.node},
+                {"store", word(v.store)},
+                {"cloud", word(v.cloud)},
+                {"zones", to_json(v.zones)},
+                {"peers", to_json(v.peers)},
+                {"machines", v.machines},
+                {"holder", v.holder},
+                {"term", v.term},
+                {"seesOffice", v.sees_office},
+                {"acts", v.acts}}
+        .dump();
+}
+
+std::optional<View> view(std::string_view body) {
+    const auto j = codec::parse(body);
+    if (!j.is_object()) return {};
+    View v;
+    v.node = text(j, "node");
+    if (v.node.empty()) return {};
+    const auto field = [&](const char* name) { return j.contains(name) ? reach(j[name]) : Reach::unknown; };
+    v.store = field("store");
+    v.cloud = field("cloud");
+    each(j, "zones", [&](const std::string& name, const Json& r) { v.zones[name] = reach(r); });
+    each(j, "peers", [&](const std::string& name, const Json& r) { v.peers[name] = reach(r); });
+    each(j, "machines", [&](const std::string& zone, const Json& list) {
+        if (!list.is_array()) return;
+        for (const auto& a : list)
+            if (a.is_string() && a.get_ref<const std::string&>().size() <= longest_name &&
+                v.machines[zone].size() < most_samples)
+                v.machines[zone].push_back(a.get<std::string>());
+    });
+    v.holder = text(j, "holder");
+    if (const auto t = j.find("term"); t != j.end() && t->is_number_unsigned()) v.term = t->get<std::uint64_t>();
+    v.sees_office = flag(j, "seesOffice");
+    v.acts = flag(j, "acts");
+    return v;
+}
+
+} // namespace heronshift::membership
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -59,7 +59,11 @@
         ClientMetric m;
         const bool counter = v.name.ends_with("_total");
         (counter ? m.counter.value : m.gauge.value) = v.value;
-        all.push_back({v.name, v.help, counter ? MetricType::Counter : MetricType::Gauge, {m}});
+        for (const auto& [name, value] : v.labels) m.label.push_back({name, value});
+        if (!all.empty() && all.back().name == v.name)
+            all.back().metric.push_back(m);
+        else
+            all.push_back({v.name, v.help, counter ? MetricType::Counter : MetricType::Gauge, {m}});
     }
     for (const auto& t : timed) {
         ClientMetric m;
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -13,8 +13,12 @@
 Controller::Controller(Settings settings, Parts parts)
     : s_(std::move(settings)), clock_(std::move(parts.clock)), later_(clock_), store_(std::move(parts.state)),
       executor_(std::move(parts.executor)), peers_(std::move(parts.peers)),
-      office_(s_, later_, *store_, *peers_, took_, *this), gateway_(s_, later_, *store_, *peers_, took_, *this),
-      desk_(s_, later_, *executor_, took_, *this), cloud_(s_, later_, *store_, *executor_, *this) {
+      members_(s_, later_, store_, *executor_, peers_, *this),
+      office_(s_, later_, store_, peers_, members_, took_, *this),
+      gateway_(s_, later_, store_, peers_, members_, took_, *this),
+      desk_(s_, later_, *executor_, peers_, members_, took_, *this), cloud_(s_, later_, store_, *executor_, *this) {
+    store_.on_answer = [this](bool ok) { members_.store_answered(ok); };
+    peers_.on_answer = [this](const std::string& name, bool ok) { members_.peer_answered(name, ok); };
     later_.on_change = [this] {
         if (on_wake_at) on_wake_at();
     };
@@ -30,9 +34,10 @@
 }
 
 void Controller::tick() {
-    store_->sweep();
+    store_.sweep();
     executor_->sweep();
-    peers_->sweep();
+    peers_.sweep();
+    members_.tick();
     office_.tick();
     cloud_.tick();
     gateway_.tick();
@@ -149,9 +154,12 @@
 void Controller::serve_peer(HttpRequest&& r, Responder res) {
     if (!r.path.starts_with(peer_prefix)) return res.send(404, codec::error_answer("no such path"));
     r.path.erase(0, std::string_view(peer_prefix).size());
+    if (r.path == "/view") return members_.exchanged(r, res);
     if (r.path == "/promise") return office_.asked_to_promise(r, res);
-    if (r.path == "/office")
-        return res.send(200, codec::Json{{"holder", office_.holder()}, {"term", office_.term()}}.dump());
+    if (r.path == "/take") return office_.asked_to_take(r, res);
+    if (r.path == "/relay") return desk_.pass_on(std::move(r), res);
+    if (r.path == "/office") // for versions without views
+        return res.send(200, codec::Json{{"holder", office_.holder()}, {"term", office_.holder_term()}}.dump());
     serve(std::move(r), std::move(res), true);
 }
 
@@ -164,18 +172,39 @@
     const std::string_view path = r.path;
     const bool get = r.method == "GET", post = r.method == "POST";
     auto wrong_method = [&] { res.send(405, codec::error_answer("wrong method")); };
-    if (path == codec::path_report) return post ? desk_.beat(r, res) : wrong_method();
+    if (path == codec::path_report) return post ? desk_.beat(std::move(r), res, passed_on) : wrong_method();
     if (path == codec::path_health) {
         if (!get) return wrong_method();
-        return types().empty() ? res.send(503, codec::not_now, retry_soon_s) : res.send(200, "{}");
+        const bool of_use = !types().empty() && members_.of_use();
+        return of_use ? res.send(200, "{}") : res.send(503, codec::not_now, retry_soon_s);
     }
     if (path == "/metrics") return get ? res.send(200, metrics()) : wrong_method();
     if (path.starts_with(codec::path_jobs)) return gateway_.serve(std::move(r), std::move(res), passed_on);
     res.send(404, codec::error_answer("no such path"));
 }
 
+std::string Controller::zone_of(const std::string& machine) const {
+    if (!core_) return {};
+    const auto& all = core_->state().machines;
+    const auto it = all.find(machine);
+    return it == all.end() ? "" : it->second->zone_name;
+}
+
+std::map<std::string, std::size_t> Controller::machines_by_zone() const {
+    std::map<std::string, std::size_t> out;
+    if (core_)
+        for (const auto& [id, m] : core_->state().machines)
+            if (m->status == ledger::Status::up) ++out[m->zone_name];
+    return out;
+}
+
 std::string Controller::metrics() const {
     auto values = core_ ? core_->metrics() : std::vector<metrics::Value>{};
+    for (auto&& part : {office_.metrics(), members_.metrics()}) values.insert(values.end(), part.begin(), part.end());
+    values.push_back(
+        {"heronshift_relayed_total", "reports and orders passed on for others", static_cast<double>(took_.relayed)});
+    values.push_back({"heronshift_sent_by_others_total", "orders that another passed on for this controller",
+                      static_cast<double>(took_.sent_by_others)});
     values.push_back({"heronshift_requests_total", "from users and workers", static_cast<double>(took_.requests)});
     values.push_back({"heronshift_refused_total", "requests sent away for now", static_cast<double>(took_.refused)});
     return metrics::text(values, {{"heronshift_submit_seconds", "to store a job and answer", &took_.submit},
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -10,16 +10,21 @@
 using codec::Json;
 
 constexpr const char* peer_promise = "/peer/promise";
-constexpr const char* peer_office = "/peer/office";
-constexpr double attempt_s = 1;      // for each step of taking the office
-constexpr double deaf_reports = 2.5; // intervals without a word from any worker: this node is cut off
+constexpr const char* peer_take = "/peer/take";
+constexpr double attempt_s = 1;                        // for each step of taking the office
+constexpr double deaf_reports = 2, sure_reports = 1.5; // without a word from any worker: this node is cut off
+constexpr double deaf_leases = 0.5;                    // the same for one that never heard any in this term
+constexpr double steady_reports = 0.5;                 // for so long another must be fitter
+constexpr double unserved_holds = 0.45;                // of its length, not renewed while the store serves others
+constexpr double look_reports = 1.0 / 10;
+constexpr double forget_reports = 2; // without the store's or a peer's word
 constexpr std::size_t few_machines = 4;
 
 } // namespace
 
-Office::Office(const Settings& s, Later& later, store::StateStore& store, Peers& peers, metrics::Timings& took,
-               Host& host)
-    : s_(s), later_(later), store_(store), peers_(peers), host_(host),
+Office::Office(const Settings& s, Later& later, store::StateStore& store, Peers& peers,
+               const membership::Membership& members, metrics::Timings& took, Host& host)
+    : s_(s), later_(later), store_(store), peers_(peers), members_(members), host_(host),
       // Short, so that others take over soon: outages of the store are bridged by promises.
       tenancy_(std::min(s.report_s, s.lease_s / 5), s.peers.size(), later.now()), reader_(s, later, store),
       commits_(s, later, store, took,
@@ -37,14 +42,49 @@
 void Office::tick() {
     const double t = later_.now();
     if ((state_ == State::held || state_ == State::loading) && t >= next_renew_) renew();
-    // Cut off from all workers at once, this node is the wrong holder: their leases would run out.
-    if (valid() && t - std::max(workers_heard_, taken_at_) > deaf_reports * s_.report_s &&
-        host_.machines_up() >= few_machines) {
-        resting_until_ = t + s_.lease_s;
-        step_down("no worker has been heard of for a while");
+    if (t < next_look_) return;
+    next_look_ = t + look_reports * s_.report_s;
+    if (valid()) consider_others();
+    if (state_ == State::standby) hear_of_holder();
+}
+
+// Whether another should hold the office, by one order: the store before workers, workers reached directly
+// before those reached through others. At most one change a lease for the sake of more; a holder that the
+// store does not serve, or that hears from no worker at all, is as good as dead.
+void Office::consider_others() {
+    const double t = later_.now();
+    // Cut off from the store while it serves others: the hold runs out, and waiting for that gains nothing.
+    if (t - tenancy_.renewed_at() > unserved_holds * tenancy_.ttl_s() && members_.store() == membership::Reach::lost)
+        if (const auto to = members_.with_store(members_.fitter().value_or("")); to)
+            return end_term(fmt::format("the store serves {}, not this node", *to), {*to});
+    const auto fitter = members_.fitter();
+    if (!fitter)
+        fitter_since_ = -1;
+    else if (fitter_since_ < 0)
+        fitter_since_ = t;
+    const bool deaf = is_deaf(t);
+    if (fitter && t - fitter_since_ > steady_reports * s_.report_s && (deaf || t - taken_at_ > s_.lease_s))
+        return end_term(
+            fmt::format("{} is fitter ({}; here {})", *fitter, say(members_.standing(*fitter)), say(members_.own())),
+            {*fitter});
+    // The leases of all machines would run out. Where all others are known to be no better, this node stays.
+    if (deaf && !fitter && !members_.all_alive()) {
+        ++deaf_ends_;
+        end_term("no worker has been heard of for a while", {});
     }
 }
 
+// No word from any worker, whichever way, for longer than all of them need to report; sooner if those that
+// are asked do not answer either, later if there was none in this term yet.
+bool Office::is_deaf(double t) const {
+    const double heard = members_.worker_heard_at();
+    const double silent = t - std::max(heard, taken_at_);
+    const double patience = heard <= taken_at_          ? deaf_leases * s_.lease_s
+                            : members_.all_zones_lost() ? sure_reports * s_.report_s
+                                                        : deaf_reports * s_.report_s;
+    return silent > patience && host_.machines_up() >= few_machines;
+}
+
 // Waits for a change of the office, then looks at it afresh.
 void Office::watch() {
     if (state_ != State::standby) return;
@@ -66,17 +106,19 @@
     tenancy_.store_read(r.status == 200 || r.status == 404, t);
     if (r.status == 404) {
         holder_.clear();
+        seen_at_ = t;
+        if (free_since_ < 0) free_since_ = t;
         spdlog::debug("the office is free{}", tenancy_.may_take(t) ? "" : ", but we promised to wait");
         if (!tenancy_.may_take(t)) return watch_again(std::max(0.01, tenancy_.not_before() - t));
-        if (t < resting_until_) return watch_again(s_.report_s / 6);
-        acquire();
-        return;
+        // A fitter one goes first; but views may be wrong, so nobody waits for ever.
+        const double wait = free_since_ + members_.yields_s() - t;
+        if (wait > 0) return watch_again(std::min(wait, s_.report_s / 8));
+        return acquire();
     }
     const auto& item = r.item;
-    if (!item || !item->value.is_object()) {
-        ask_for_holder();
-        return watch_again(s_.report_s / 6);
-    }
+    if (!item || !item->value.is_object()) return watch_again(s_.report_s / 6);
+    seen_at_ = t;
+    free_since_ = -1;
     const auto name = item->value.value("node", std::string());
     if (name == s_.name) {
         // We have just started: the process that held the office under our name is dead.
@@ -100,18 +142,21 @@
 
 // While the store does not answer this node, the others may know who holds the office. It is only a
 // hint, for passing on requests and sending workers to the right place.
-void Office::ask_for_holder() {
-    for (const auto& p : s_.peers)
-        peers_.request(p.name, "GET", peer_office, "", s_.report_s / 4, [this](HttpReply&& r) {
-            const auto j = r.status == 200 ? codec::parse(r.body) : Json();
-            if (!j.is_object() || !j.contains("holder") || !j["holder"].is_string()) return;
-            const auto name = j["holder"].get<std::string>();
-            const auto term = j.value("term", std::uint64_t{0});
-            if (state_ != State::standby || name.empty() || name == s_.name || term < holder_term_) return;
-            if (name != holder_) spdlog::info("the office is held by {}, says a peer", name);
-            holder_ = name;
-            holder_term_ = term;
-        });
+void Office::hear_of_holder() {
+    const double t = later_.now();
+    const auto said = members_.office();
+    if (sees_office() || (said && said->holder == holder_ && said->term == holder_term_)) known_at_ = t;
+    // What was known long ago is worse than nothing: others would be sent to a holder that is none.
+    if (!holder_.empty() && t - known_at_ > forget_reports * s_.report_s) {
+        spdlog::info("who holds the office is not known here any more");
+        holder_.clear();
+    }
+    if (!said || said->holder == s_.name || said->holder == holder_) return;
+    if (said->term < holder_term_ || (said->term == holder_term_ && sees_office())) return;
+    known_at_ = t;
+    if (!said->holder.empty()) spdlog::info("the office is held by {}, says a peer", said->holder);
+    holder_ = said->holder;
+    holder_term_ = said->term;
 }
 
 void Office::acquire_failed() {
@@ -165,7 +210,10 @@
     tenancy_.hold_extended(hold_sent_); // counted from when it was asked for
     carried_ = false;
     next_renew_ = 0;
+    free_since_ = fitter_since_ = -1;
+    ++takes_;
     spdlog::info("took office, term {}", term_);
+    spdlog::info("reached from here: {}", say(members_.own()));
     reader_.read_all([this](Snapshot&& stored) {
         state_ = State::held;
         host_.entered(term_, std::move(stored));
@@ -187,12 +235,13 @@
     if (!held() || !tenancy_.wants_promises(sent)) return;
     const auto body = Json{{"node", s_.name}, {"term", term_}, {"forS", tenancy_.promise_s()}}.dump();
     for (const auto& p : s_.peers)
-        peers_.request(p.name, "POST", peer_promise, body, ttl / 5, [this, gen, sent, name = p.name](HttpReply&& r) {
-            if (gen != generation_ || r.status != 200) return;
-            if (!tenancy_.promised(name, sent, later_.now()) || carried_) return;
-            carried_ = true;
-            spdlog::info("the store does not answer; all others promise to wait");
-        });
+        peers_.request(Lane::control, p.name, "POST", peer_promise, body, ttl / 5,
+                       [this, gen, sent, name = p.name](HttpReply&& r) {
+                           if (gen != generation_ || r.status != 200) return;
+                           if (!tenancy_.promised(name, sent, later_.now()) || carried_) return;
+                           carried_ = true;
+                           spdlog::info("the store does not answer; all others promise to wait");
+                       });
 }
 
 // A peer that holds the office cannot renew its hold and asks us to leave it alone for a while. A
@@ -209,19 +258,73 @@
     });
 }
 
-void Office::step_down(const std::string& why) {
+// First this node stops acting, then it says so: a successor may decide from the moment that it can hear
+// of it.
+void Office::end_term(const std::string& why, const std::vector<std::string>& successors) {
     if (state_ == State::standby) return;
     spdlog::warn("term {} ends here: {}", term_, why);
-    if (hold_ != 0) store_.end_hold(hold_, attempt_s, [](store::Answer&&) {});
+    const auto hold = std::exchange(hold_, 0);
     ++generation_;
     state_ = State::standby;
     tenancy_.begin();
-    hold_ = 0;
     holder_.clear();
     reader_.stop();
     commits_.stop();
     host_.left();
+    if (hold != 0) store_.end_hold(hold, attempt_s, [](store::Answer&&) {});
+    if (hold != 0 && !successors.empty()) {
+        ++handovers_;
+        offer(Json{{"node", s_.name}, {"term", term_}, {"hold", hold}}.dump(), successors);
+    }
     watch_again(s_.report_s / 10);
 }
 
+// To the first that can be reached. It ends the hold if this node could not.
+void Office::offer(const std::string& body, std::vector<std::string> to) {
+    if (to.empty()) return;
+    const auto first = to.front();
+    to.erase(to.begin());
+    peers_.request(Lane::control, first, "POST", peer_take, body, attempt_s,
+                   [this, body, to = std::move(to)](HttpReply&& r) mutable {
+                       if (r.status != 200) offer(body, std::move(to));
+                   });
+}
+
+// A holder that has stopped acting asks us to take its place, and to end its hold if it still stands. Such
+// a request may come minutes late or twice: what it names is ended only if the office still names all of
+// it, and a hold that is ended once never comes back.
+void Office::asked_to_take(const HttpRequest& r, const Responder& res) {
+    const auto j = codec::parse(r.body);
+    const auto number = [&](const char* field) {
+        return j.is_object() && j.contains(field) && j[field].is_number_unsigned() ? j[field].get<std::uint64_t>() : 0;
+    };
+    const auto term = number("term"), hold = number("hold");
+    const auto node = j.is_object() && j.contains("node") && j["node"].is_string() ? j["node"].get<std::string>() : "";
+    if (node.empty() || term == 0 || hold == 0)
+        return res.send(400, codec::error_answer("node, term and hold are needed"));
+    if (state_ != State::standby) return res.send(409, codec::error_answer("not a standby"));
+    store_.get(office_key, s_.report_s / 4, [this, node, term, hold, res](store::Answer&& a) {
+        const auto take = [this, res] {
+            res.send(200, "{}");
+            if (state_ != State::standby) return;
+            ++generation_; // instead of the watch under way
+            watch();
+        };
+        if (a.status == 404) return take();
+        const bool same = a.item && a.item->value.is_object() && a.item->value.value("node", std::string()) == node &&
+                          a.item->value.value("term", std::uint64_t{0}) == term &&
+                          a.item->value.value("hold", std::uint64_t{0}) == hold;
+        if (!same) return res.send(409, codec::error_answer("the office does not name this hold"));
+        store_.end_hold(hold, s_.report_s / 4, [take](store::Answer&&) { take(); });
+    });
+}
+
+std::vector<metrics::Value> Office::metrics() const {
+    const auto of = [](std::uint64_t n) { return static_cast<double>(n); };
+    return {{"heronshift_office_held", "by this controller: 1", valid() ? 1.0 : 0.0},
+            {"heronshift_office_taken_total", "times this controller took the office", of(takes_)},
+            {"heronshift_office_handed_over_total", "times it gave the office to a fitter one", of(handovers_)},
+            {"heronshift_office_deaf_total", "times it gave the office up for want of workers", of(deaf_ends_)}};
+}
+
 } // namespace heronshift::office
--- a/src/office/reader.cpp
+++ b/src/office/reader.cpp
@@ -15,9 +15,14 @@
     stored_ = {};
     // All at once: only jobs can still change, by other nodes, and those changes are followed.
     const std::pair<const char*, std::vector<codec::Item>*> prefixes[] = {
-        {"j/", &stored_.jobs},     {"i/", &stored_.intents}, {"p/", &stored_.progress}, // as the versions before wrote
-                                                                                        // it
-        {"q/", &stored_.progress}, {"c/", &stored_.images},  {"l/", &stored_.learned},  {"m/", &stored_.earlier},
+        {"j/", &stored_.jobs},
+        {"i/", &stored_.intents},
+        {"p/", &stored_.progress}, // as the versions before wrote
+                                   // it
+        {"q/", &stored_.progress},
+        {"c/", &stored_.images},
+        {"l/", &stored_.learned},
+        {"m/", &stored_.earlier},
         {"d/", &stored_.earlier},
     };
     left_ = static_cast<int>(std::size(prefixes));
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -3,19 +3,23 @@
 namespace heronshift {
 namespace {
 
-constexpr std::size_t connections = 8, waiting = 64; // to each peer
+// To each peer. What finds no place is not sent, which is said at once.
+constexpr std::size_t connections = 8, waiting = 64, control_connections = 2, control_waiting = 8;
 
 } // namespace
 
-HttpPeers::HttpPeers(uv_loop_t* loop, const std::vector<Peer>& all) : client_(loop, connections, waiting) {
+HttpPeers::HttpPeers(uv_loop_t* loop, const std::vector<Peer>& all)
+    : control_(loop, control_connections, control_waiting), users_(loop, connections, waiting),
+      relays_(loop, connections, waiting) {
     for (const auto& p : all) addr_[p.name] = p.addr.str();
 }
 
-void HttpPeers::request(const std::string& name, const char* method, const std::string& path, std::string body,
-                        double timeout_s, Done done) {
+void HttpPeers::request(Lane lane, const std::string& name, const char* method, const std::string& path,
+                        std::string body, double timeout_s, Done done) {
     const auto it = addr_.find(name);
     if (it == addr_.end()) return done({});
-    client_.request(it->second, method, path, std::move(body), timeout_s, std::move(done));
+    auto& client = lane == Lane::control ? control_ : lane == Lane::users ? users_ : relays_;
+    client.request(it->second, method, path, std::move(body), timeout_s, std::move(done));
 }
 
 } // namespace heronshift
