--- a/include/heronshift/agents/desk.hpp
+++ b/include/heronshift/agents/desk.hpp
@@ -26,8 +26,9 @@
     class Host {
     public:
         virtual ~Host() = default;
-        [[nodiscard]] virtual bool acts() const = 0;                                     // at this moment
-        [[nodiscard]] virtual const std::string& holder() const = 0;                     // a hint, may be empty
+        [[nodiscard]] virtual bool acts() const = 0;                 // at this moment
+        [[nodiscard]] virtual bool taking() const = 0;               // the office, which takes a moment
+        [[nodiscard]] virtual const std::string& holder() const = 0; // a hint, may be empty
         [[nodiscard]] virtual std::string zone_of(const std::string& machine) const = 0; // empty: not known
         virtual void push(Command c) = 0;                                                // to the core
     };
@@ -36,18 +37,27 @@
 
     void beat(HttpRequest&& r, const Responder& res, bool relayed); // POST /agent/beat
     void pass_on(HttpRequest&& r, const Responder& res);            // POST /peer/relay: orders for a machine
-    void left_office();                                             // who waits for an answer is sent away
+    void settle_early(); // reports that came while the office changed hands; often, and once it is ours
+    void left_office();  // who waits for an answer is sent away
 
     // From the core.
     void answer(BeatAnswer&& a);
     void send(const SendOrders& o, std::function<void(OrdersAnswered&&)> done);
 
 private:
+    struct Early { // a report that came while the office changed hands
+        Report report;
+        bool relayed = false;
+        Executor::ReportDone done;
+        double since = 0;
+        std::string refused_by; // a holder that did not take it
+    };
+    void take(Early&& e);
     void report(Report&& r, Executor::ReportDone done);
-    [[nodiscard]] std::optional<ReportAnswer> elsewhere() const; // what a report is told that this node must not take
+    [[nodiscard]] ReportAnswer elsewhere() const; // what a report is told that this node must not take
     enum class Way : std::uint8_t { holder, relay, next };
     [[nodiscard]] Way way_of(const Report& r);
-    void relay(std::string body, const Responder& res);
+    void relay(Report&& r, std::string body, const Responder& res);
     void send_by(const std::string& peer, const SendOrders& o, std::function<void(OrdersAnswered&&)> done);
     void note_launches(const std::vector<Order>& orders);
 
@@ -64,6 +74,7 @@
         double since = 0;
     };
     std::map<std::uint64_t, Open> open_;
+    std::vector<Early> early_;
     struct SentAway { // to whom, when (below zero: it came back since), and until when it is relayed
         std::string holder;
         double at = -1, relay_until = -1;
--- a/include/heronshift/membership/membership.hpp
+++ b/include/heronshift/membership/membership.hpp
@@ -51,8 +51,8 @@
     void store_answered(bool ok);
     void cloud_answered(bool ok);
     void peer_answered(const std::string& name, bool ok);
-    void report_came(const std::string& zone, const std::string& addr); // from the machine itself
-    void report_relayed(const std::string& zone);                       // through another controller
+    void report_came(const std::string& zone, const std::string& addr);    // from the machine itself
+    void report_relayed(const std::string& zone, const std::string& addr); // through another controller
     void machine_answered() {
         heard_at_ = later_.now();
     }
@@ -74,6 +74,7 @@
     // Of the others. Alive: its view came a short while ago.
     [[nodiscard]] bool alive(const std::string& name) const;
     [[nodiscard]] bool all_alive() const;
+    [[nodiscard]] bool in_touch() const; // with the store or any other controller
     // The fittest of those alive, if it is surely fitter than this node.
     [[nodiscard]] std::optional<std::string> fitter() const;
     [[nodiscard]] Standing own() const;
@@ -122,6 +123,7 @@
     [[nodiscard]] Standing standing(const View& v, bool doubt) const;
     [[nodiscard]] Reach reach(const Zone& z) const;
     void trust(Zone& z);
+    void remember(Zone& z, const std::string& addr);
     [[nodiscard]] bool fresh(const Other& o) const;
     void took(View&& v);
     void exchange();
--- a/include/heronshift/node/controller.hpp
+++ b/include/heronshift/node/controller.hpp
@@ -84,6 +84,9 @@
     [[nodiscard]] bool acts() const override {
         return acting() != nullptr;
     }
+    [[nodiscard]] bool taking() const override {
+        return office_.taking();
+    }
     [[nodiscard]] bool held() const override {
         return office_.held();
     }
--- a/include/heronshift/office/office.hpp
+++ b/include/heronshift/office/office.hpp
@@ -57,6 +57,9 @@
     [[nodiscard]] bool held() const {
         return state_ == State::held;
     }
+    [[nodiscard]] bool taking() const { // it is being taken: soon this node acts, or another does
+        return state_ == State::acquiring || state_ == State::loading;
+    }
     // Until when, by the clock, it may if it hears nothing more; 0: it may not.
     [[nodiscard]] double acts_until() const {
         return held() ? tenancy_.until() : 0;
--- a/src/agents/desk.cpp
+++ b/src/agents/desk.cpp
@@ -8,9 +8,11 @@
 namespace heronshift::agents {
 namespace {
 
-constexpr double worker_waits_s = 4;           // for the answer to a report, says the protocol
-constexpr double relay_s = worker_waits_s / 2; // so that there is time for both ways
-constexpr std::size_t most_remembered = 4096;  // machines that were sent to the holder
+constexpr double worker_waits_s = 4;               // for the answer to a report, says the protocol
+constexpr double relay_s = worker_waits_s / 2;     // so that there is time for both ways
+constexpr std::size_t most_remembered = 4096;      // machines that were sent to the holder
+constexpr std::size_t most_early = 1000;           // reports that wait while the office changes hands,
+constexpr double early_s = worker_waits_s * 3 / 4; // and for how long since they came
 constexpr std::string_view peer_relay = "/peer/relay?to=";
 
 } // namespace
@@ -20,45 +22,77 @@
     : s_(s), later_(later), executor_(executor), peers_(peers), members_(members), took_(took), host_(host),
       most_relays_(static_cast<std::size_t>(s.fd_limit) / 20) {
     executor_.reports_to([this](Report&& r, Executor::ReportDone done) {
-        members_.report_came(r.zone, r.addr);
-        report(std::move(r), std::move(done));
+        if (!host_.acts()) return done(elsewhere());
+        take({std::move(r), false, std::move(done), later_.now(), ""});
     });
 }
 
-std::optional<ReportAnswer> Desk::elsewhere() const {
-    if (host_.acts()) return {};
+ReportAnswer Desk::elsewhere() const {
     const auto& holder = host_.holder();
     const bool other = !holder.empty() && holder != s_.name;
-    return ReportAnswer{other ? 421 : 503, 0, {}, other ? holder : ""};
+    return {other ? 421 : 503, 0, {}, other ? holder : ""};
 }
 
-void Desk::beat(HttpRequest&& r, const Responder& res, bool relayed) {
-    const auto answer = [res](const ReportAnswer& a) {
+namespace {
+
+Executor::ReportDone answer_to(const Responder& res) {
+    return [res](const ReportAnswer& a) {
         if (a.status == 200) return res.send(200, codec::orders(a.fence, a.orders));
         if (a.status == 421) return res.send(421, codec::redirect(a.holder));
         res.send(a.status, "{}");
     };
-    const auto other = elsewhere();
-    if (other && (relayed || other->status != 421)) return answer(*other);
+}
+
+} // namespace
+
+void Desk::beat(HttpRequest&& r, const Responder& res, bool relayed) {
+    if (relayed && !host_.acts() && !host_.taking()) return answer_to(res)(elsewhere());
     auto read = codec::report(r.body);
     if (!read) {
         spdlog::warn("malformed report");
         return res.send(400, codec::error_answer("malformed report"));
     }
-    if (other) {
+    const auto other = elsewhere();
+    if (!relayed && !host_.acts() && other.status == 421) {
         const auto way = way_of(*read);
-        if (way == Way::relay) return relay(std::move(r.body), res);
-        return answer(way == Way::holder ? *other : ReportAnswer{});
+        if (way == Way::relay) return relay(std::move(*read), std::move(r.body), res);
+        return answer_to(res)(way == Way::holder ? other : ReportAnswer{});
+    }
+    take({std::move(*read), relayed, answer_to(res), later_.now(), ""});
+}
+
+// While the office passes from one to another, a report waits for a moment: sent away, its machine might
+// find no other node that it reaches before its lease has run out.
+void Desk::take(Early&& e) {
+    if (!host_.acts()) {
+        // Cut off from the store and from all others, this node would not hear who has it.
+        if (early_.size() >= most_early || !members_.in_touch()) return e.done({});
+        early_.push_back(std::move(e));
+        return;
     }
-    if (relayed)
-        members_.report_relayed(read->zone);
+    if (e.relayed)
+        members_.report_relayed(e.report.zone, e.report.addr);
     else
-        members_.report_came(read->zone, read->addr);
-    report(std::move(*read), answer);
+        members_.report_came(e.report.zone, e.report.addr);
+    report(std::move(e.report), std::move(e.done));
+}
+
+void Desk::settle_early() {
+    if (early_.empty()) return;
+    const bool late_too = !host_.acts() && !host_.taking();
+    for (auto& e : std::exchange(early_, {})) {
+        const auto other = elsewhere();
+        const bool elsewhere_now = late_too && other.status == 421 && other.holder != e.refused_by;
+        if (host_.acts())
+            take(std::move(e));
+        else if (elsewhere_now || later_.now() - e.since > early_s)
+            e.done(other);
+        else
+            early_.push_back(std::move(e));
+    }
 }
 
 void Desk::report(Report&& r, Executor::ReportDone done) {
-    if (const auto other = elsewhere(); other) return done(*other);
     const auto h = ++handle_seq_;
     open_[h] = {std::move(done), later_.now()};
     host_.push(Beat{std::move(r), h});
@@ -89,19 +123,22 @@
     return Way::holder;
 }
 
-void Desk::relay(std::string body, const Responder& res) {
+void Desk::relay(Report&& r, std::string body, const Responder& res) {
     if (relaying_ >= most_relays_) {
         ++took_.refused;
         return res.send(503, "{}");
     }
     ++relaying_;
     ++took_.relayed;
+    auto kept = std::make_shared<Report>(std::move(r));
+    const double since = later_.now();
     peers_.request(Lane::relays, host_.holder(), "POST", peer_prefix + std::string(codec::path_report), std::move(body),
-                   relay_s, [this, res](HttpReply&& r) {
+                   relay_s, [this, kept, res, since, holder = host_.holder()](HttpReply&& a) {
                        --relaying_;
-                       // Whatever the holder said, and nothing that it did not say.
-                       if (r.status == 0) return res.send(503, "{}");
-                       res.send(r.status, r.body);
+                       // Whatever the holder said, and nothing that it did not say. Where it has just given
+                       // the office up, the machine is told who has it next.
+                       if (a.status == 200 || a.status == 421) return res.send(a.status, a.body);
+                       take({std::move(*kept), false, answer_to(res), since, holder});
                    });
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -93,25 +93,34 @@
     if (z == nullptr) return;
     z->heard_at = t;
     if (z->in.worked(t)) changed(fmt::format("workers in {}", zone), reach(*z));
-    // The same few for as long as they report: connections to them are kept.
-    for (auto& x : z->samples)
+    remember(*z, addr);
+}
+
+void Membership::report_relayed(const std::string& zone, const std::string& addr) {
+    heard_at_ = later_.now();
+    auto* z = find_zone(zone);
+    if (z == nullptr) return;
+    z->relayed_at = heard_at_;
+    remember(*z, addr);
+}
+
+// The same few for as long as they report: connections to them are kept. (Where relayed reports did not
+// count, the machines that were asked had long been given back, and their zone was taken for lost.)
+void Membership::remember(Zone& z, const std::string& addr) {
+    const double t = later_.now();
+    for (auto& x : z.samples)
         if (x.addr == addr) {
             x.at = t;
             return;
         }
-    if (z->samples.size() < most_samples) return z->samples.push_back({addr, t});
-    for (auto& x : z->samples)
+    if (z.samples.size() < most_samples) return z.samples.push_back({addr, t});
+    for (auto& x : z.samples)
         if (t - x.at > silence_reports * s_.report_s) {
             x = {addr, t};
             return;
         }
 }
 
-void Membership::report_relayed(const std::string& zone) {
-    heard_at_ = later_.now();
-    if (auto* z = find_zone(zone); z != nullptr) z->relayed_at = heard_at_;
-}
-
 // --- what goes out ---
 
 void Membership::tick() {
@@ -209,9 +218,9 @@
     v.term = host_.holder_term();
     v.sees_office = host_.sees_office();
     v.acts = host_.acts();
-    if (v.acts)
-        for (const auto& [name, z] : zones_)
-            for (const auto& x : z.samples) v.machines[name].push_back(x.addr);
+    for (const auto& [name, z] : zones_)
+        for (const auto& x : z.samples)
+            if (later_.now() - x.at < s_.lease_s) v.machines[name].push_back(x.addr);
     return v;
 }
 
@@ -241,13 +250,14 @@
     const auto it = others_.find(v.node);
     if (it == others_.end()) return;
     const double t = later_.now();
-    if (v.acts && !host_.acts())
-        for (const auto& [name, list] : v.machines) {
-            auto* z = find_zone(name);
-            if (z == nullptr || list.empty()) continue;
-            z->samples.clear();
-            for (const auto& addr : list) z->samples.push_back({addr, t});
-        }
+    for (const auto& [name, list] : v.machines) {
+        auto* z = find_zone(name);
+        if (z == nullptr || list.empty() || host_.acts() || !(v.acts || z->samples.empty())) continue;
+        // What others only remember is used, but not handed on: it would never grow old.
+        const double at = v.acts ? t : t - s_.lease_s;
+        z->samples.clear();
+        for (const auto& addr : list) z->samples.push_back({addr, at});
+    }
     it->second.view = std::move(v);
     it->second.at = t;
 }
@@ -291,6 +301,11 @@
     return std::all_of(others_.begin(), others_.end(), [this](const auto& o) { return fresh(o.second); });
 }
 
+bool Membership::in_touch() const {
+    return !store_.lost() ||
+           std::any_of(others_.begin(), others_.end(), [this](const auto& o) { return fresh(o.second); });
+}
+
 // With doubt, what is not known counts as reached.
 Standing Membership::standing(const View& v, bool doubt) const {
     const auto counts = [doubt](Reach r) { return r == Reach::works || (doubt && r == Reach::unknown); };
@@ -382,10 +397,9 @@
 }
 
 bool Membership::of_use() const {
-    if (!store_.lost() || host_.acts() || with_store("")) return true;
     // The others are there and have no store either: an outage, in which everybody waits. Where nobody
     // can be asked, this node may be the only one that is cut off.
-    return std::any_of(others_.begin(), others_.end(), [this](const auto& o) { return fresh(o.second); });
+    return host_.acts() || in_touch();
 }
 
 std::optional<Membership::Hearsay> Membership::office() const {
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -40,6 +40,7 @@
     members_.tick();
     office_.tick();
     cloud_.tick();
+    desk_.settle_early();
     gateway_.tick();
 }
 
@@ -69,6 +70,7 @@
     spdlog::info("term {}: {} jobs and {} records read", term, stored.jobs.size(),
                  stored.intents.size() + stored.progress.size() + stored.earlier.size());
     cloud_.entered_office();
+    desk_.settle_early();
     if (on_wake_at) on_wake_at();
 }
 
--- /dev/null
+++ b/tests/fleet.hpp
@@ -0,0 +1,601 @@
+// Several real controllers in memory: the World's machines and rules, a state service, a cloud and users
+// with a load balancer, and a network of directed links between any two of them, each of which may drop,
+// hold, refuse or slow down what passes.
+#pragma once
+
+#include "heronshift/node/controller.hpp"
+#include "heronshift/store/engine.hpp"
+
+#include "world.hpp"
+
+namespace heronshift::testing {
+
+enum class Mode : std::uint8_t { open, drop, hold, refuse, slow };
+
+struct Fleet : World {
+    static constexpr const char* state = "state";
+    static constexpr const char* cloud = "cloud";
+    static constexpr const char* users = "users";
+
+    struct Node {
+        std::string name;
+        std::unique_ptr<heronshift::Controller> controller;
+        std::shared_ptr<Clock> clock;
+        std::uint64_t life = 0; // of the process: what was meant for an earlier one is dropped
+        bool frozen = false, refused_by_store = false, healthy = false;
+        double back_at = -1, frozen_until = -1;
+        std::vector<std::function<void()>> inbox; // while it stands still
+        int good = 0, bad = 0;                    // answers of /up in a row
+    };
+    struct User {
+        bool accepted = false, cancels = false, asking = false;
+        double first_at = 0, next_at = 0, accepted_at = -1, done_at = -1;
+    };
+
+    explicit Fleet(unsigned seed, std::size_t count = 5) : World(seed) {
+        settings.zones = {"a", "b", "c"};
+        settings.teams = {{"red", 400, 800, 0, 0}, {"blue", 400, 1200, 0, 0}};
+        types[0].zones = settings.zones;
+        engine = std::make_unique<store::Engine>(
+            store::memory_data(), store::Limits{settings.state_rps, settings.state_write_rps, settings.txn_ops, 16});
+        for (std::size_t i = 0; i < count; ++i) {
+            nodes.emplace_back();
+            nodes[i].name = fmt::format("berth-{}", i);
+            nodes[i].clock = std::make_shared<Skewed>(*this, between(0.9995, 1.0005), between(0, 1000));
+            begin(i);
+        }
+    }
+
+    std::vector<MachineType> types = small_types();
+    std::deque<Node> nodes;
+    std::unique_ptr<store::Engine> engine;
+    std::map<std::string, User> asks; // by job
+    int answers_503 = 0, answers = 0, lapses = 0;
+    std::vector<double> changes; // of the holder: when
+    std::size_t last_holder = SIZE_MAX;
+    double bound_s = 2 * settings.lease_s; // from when a path is there: nothing may be late any more
+
+    // --- the network ---
+    struct Link {
+        Mode mode = Mode::open;
+        std::vector<std::function<void()>> held;
+    };
+    std::map<std::pair<std::string, std::string>, Link> links;
+
+    void set(const std::string& from, const std::string& to, Mode m) {
+        auto& l = links[{from, to}];
+        l.mode = m;
+        if (m == Mode::hold) return;
+        double delay = 0.01;
+        for (auto& f : std::exchange(l.held, {})) send(delay += 0.001, std::move(f));
+    }
+    void both(const std::string& a, const std::string& b, Mode m) {
+        set(a, b, m);
+        set(b, a, m);
+    }
+    static std::string zone(const std::string& name) {
+        return "workers " + name;
+    }
+    void all_zones(const std::string& node, Mode m) {
+        for (const auto& z : settings.zones) both(node, zone(z), m);
+    }
+    bool open(const std::string& a, const std::string& b) {
+        const auto is = [&](const std::string& x, const std::string& y) {
+            const auto it = links.find({x, y});
+            return it == links.end() || it->second.mode == Mode::open;
+        };
+        return is(a, b) && is(b, a);
+    }
+    void pass(const std::string& from, const std::string& to, std::function<void()> f,
+              std::function<void()> refused = {}) {
+        auto& l = links[{from, to}];
+        const double delay = chance() < late ? between(0.3, 2) : between(0.001, 0.03);
+        switch (l.mode) {
+        case Mode::open: return send(delay, std::move(f));
+        case Mode::slow: return send(between(0.5, 8), std::move(f));
+        case Mode::hold: l.held.push_back(std::move(f)); return;
+        case Mode::refuse:
+            if (refused) send(delay, std::move(refused));
+            return;
+        case Mode::drop: return;
+        }
+    }
+    // What happens in a node's process: not after its end, and later if it stands still.
+    void in_node(std::size_t i, std::uint64_t life, std::function<void()> f) {
+        auto& n = nodes[i];
+        if (n.life != life || !n.controller) return;
+        if (n.frozen) return n.inbox.push_back(std::move(f));
+        f();
+    }
+    template <class R> using Answer = std::function<void(R)>;
+    template <class R> using Done = std::function<void(std::optional<R>, bool sent)>;
+    template <class R>
+    void request(const std::string& from, const std::string& to, double timeout_s, std::function<void(Answer<R>)> serve,
+                 Done<R> done) {
+        auto once = std::make_shared<Done<R>>(std::move(done));
+        const auto finish = [once](std::optional<R> r, bool sent) {
+            if (const auto f = std::exchange(*once, nullptr); f) f(std::move(r), sent);
+        };
+        pass(
+            from, to,
+            [this, from, to, serve = std::move(serve), finish] {
+                serve([this, from, to, finish](R r) { pass(to, from, [finish, r] { finish(r, true); }); });
+            },
+            [finish] { finish({}, false); });
+        send(timeout_s, [finish] { finish({}, true); });
+    }
+    template <class R>
+    void node_request(std::size_t i, const std::string& to, double timeout_s, std::function<void(Answer<R>)> serve,
+                      Done<R> done) {
+        request<R>(nodes[i].name, to, timeout_s, std::move(serve),
+                   [this, i, life = nodes[i].life, done = std::move(done)](std::optional<R> r, bool sent) {
+                       in_node(i, life, [done, r = std::move(r), sent] { done(r, sent); });
+                   });
+    }
+    // A request over HTTP to a node, by a user, a worker or (peer) another node.
+    void http(const std::string& from, std::size_t to, HttpRequest r, bool peer, double timeout_s,
+              Done<HttpReply> done) {
+        request<HttpReply>(
+            from, nodes[to].name, timeout_s,
+            [this, to, r, peer](const Answer<HttpReply>& answer) {
+                in_node(to, nodes[to].life, [this, to, r, peer, answer] {
+                    Responder res([answer](int status, std::string_view body, int) {
+                        if (status != 0) answer({status, std::string(body), true});
+                    });
+                    auto& c = *nodes[to].controller;
+                    peer ? c.serve_peer(HttpRequest(r), std::move(res)) : c.serve(HttpRequest(r), std::move(res));
+                });
+            },
+            std::move(done));
+    }
+    std::size_t index(const std::string& name) const {
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+            if (nodes[i].name == name) return i;
+        return SIZE_MAX;
+    }
+
+    // --- what a controller has instead of sockets ---
+    struct Skewed final : Clock {
+        Skewed(const Fleet& f, double rate, double start) : fleet(f), rate(rate), start(start) {}
+        [[nodiscard]] double now() const override {
+            return start + fleet.now * rate;
+        }
+        [[nodiscard]] double wall() const override {
+            return 1.7e9 + fleet.now;
+        }
+        const Fleet& fleet;
+        double rate, start;
+    };
+    struct SimStore final : store::StateStore {
+        SimStore(Fleet& f, std::size_t i) : fleet(f), i(i) {}
+        void call(store::Call&& c, double timeout_s, store::Callback done) override {
+            fleet.node_request<store::Answer>(
+                i, state, timeout_s,
+                [this_fleet = &fleet, i = i, c = std::move(c)](const Answer<store::Answer>& answer) {
+                    this_fleet->store_takes(i, c, answer);
+                },
+                [done = std::move(done)](std::optional<store::Answer> a, bool sent) {
+                    if (!a) {
+                        a.emplace();
+                        a->sent = sent;
+                    }
+                    done(std::move(*a));
+                });
+        }
+        Fleet& fleet;
+        std::size_t i;
+    };
+    struct SimPeers final : Peers {
+        SimPeers(Fleet& f, std::size_t i) : fleet(f), i(i) {}
+        void request(Lane, const std::string& name, const char* method, const std::string& path, std::string body,
+                     double timeout_s, Done done) override {
+            const auto q = path.find('?');
+            HttpRequest r{method, path.substr(0, q), q == std::string::npos ? "" : path.substr(q + 1), std::move(body)};
+            fleet.http(
+                fleet.nodes[i].name, fleet.index(name), std::move(r), true, timeout_s,
+                [this_fleet = &fleet, i = i, life = fleet.nodes[i].life,
+                 done = std::move(done)](std::optional<HttpReply> a, bool sent) {
+                    this_fleet->in_node(i, life, [done, a, sent] { done(a ? HttpReply(*a) : HttpReply{0, "", sent}); });
+                });
+        }
+        Fleet& fleet;
+        std::size_t i;
+    };
+    struct SimExecutor final : Executor {
+        SimExecutor(Fleet& f, std::size_t i) : fleet(f), i(i) {}
+        using Obeyed = std::pair<int, Report>;
+        void to_worker(const std::string& addr, std::uint64_t fence, std::uint64_t tenure, std::vector<Order> orders,
+                       double timeout_s, Done<Obeyed> done) {
+            const auto it = fleet.workers.find(addr);
+            const auto to = it == fleet.workers.end() ? "nowhere" : zone(it->second.zone);
+            fleet.node_request<Obeyed>(
+                i, to, timeout_s,
+                [f = &fleet, addr, fence, tenure, orders = std::move(orders)](const Answer<Obeyed>& answer) {
+                    const auto w = f->workers.find(addr);
+                    if (w == f->workers.end() || w->second.dead || w->second.hung || w->second.cut) return;
+                    auto& x = w->second;
+                    const bool obeys = fence >= x.fence && tenure == x.tenure;
+                    if (obeys && tenure != 0) {
+                        x.fence = fence;
+                        f->execute(x, orders);
+                    }
+                    answer({obeys ? 200 : 409, f->report(x)});
+                },
+                std::move(done));
+        }
+        void command(const SendOrders& o, double timeout_s, std::function<void(OrdersAnswered&&)> done) override {
+            to_worker(o.addr, o.fence, o.tenure, o.orders, timeout_s,
+                      [done = std::move(done), id = o.machine, batch = o.batch](std::optional<Obeyed> a, bool sent) {
+                          OrdersAnswered out{id, batch, a ? a->first : 0, sent, std::nullopt};
+                          if (a) out.report = a->second;
+                          done(std::move(out));
+                      });
+        }
+        void pass_on(const std::string& addr, std::string body, double timeout_s,
+                     std::function<void(HttpReply&&)> done) override {
+            const auto o = codec::read_orders(body);
+            if (!o || !o->fence || !o->tenure) return done({400, "{}", true});
+            to_worker(addr, *o->fence, *o->tenure, o->list, timeout_s,
+                      [done = std::move(done)](std::optional<Obeyed> a, bool sent) {
+                          done(a ? HttpReply{a->first, codec::to_body(a->second), true} : HttpReply{0, "", sent});
+                      });
+        }
+        void probe(const std::string& addr, double timeout_s, std::function<void(std::optional<bool>)> done) override {
+            to_worker(addr, UINT64_MAX, 0, {}, timeout_s,
+                      [done = std::move(done)](const std::optional<Obeyed>& a, bool) { done(a.has_value()); });
+        }
+        void rent(const Rent& ask, double timeout_s, std::function<void(Rented&&)> done) override {
+            fleet.node_request<Rented>(
+                i, cloud, timeout_s, [f = &fleet, ask](const Answer<Rented>& answer) { answer(f->rent(ask)); },
+                [done = std::move(done), claim = ask.claim](std::optional<Rented> a, bool sent) {
+                    done(a ? *a : Rented{claim, sent ? RentOutcome::unknown : RentOutcome::failed, {}});
+                });
+        }
+        void release(const Release& ask, double timeout_s, std::function<void(Released&&)> done) override {
+            fleet.node_request<bool>(
+                i, cloud, timeout_s,
+                [f = &fleet, ask](const Answer<bool>& answer) {
+                    for (const auto& m : ask.machines)
+                        if (f->workers.erase(m) > 0) ++f->capacity;
+                    answer(true);
+                },
+                [done = std::move(done), list = ask.machines](std::optional<bool> ok, bool) {
+                    done({list, ok.has_value()});
+                });
+        }
+        void list(const std::string&, double timeout_s,
+                  std::function<void(std::optional<codec::MachinePage>&&)> done) override {
+            fleet.node_request<codec::MachinePage>(
+                i, cloud, timeout_s,
+                [f = &fleet](const Answer<codec::MachinePage>& answer) {
+                    answer({f->World::list().machines, false});
+                },
+                [done = std::move(done)](std::optional<codec::MachinePage> p, bool) { done(std::move(p)); });
+        }
+        void types(double timeout_s, std::function<void(std::optional<std::vector<MachineType>>&&)> done) override {
+            fleet.node_request<std::vector<MachineType>>(
+                i, cloud, timeout_s, [f = &fleet](const Answer<std::vector<MachineType>>& answer) { answer(f->types); },
+                [done = std::move(done)](std::optional<std::vector<MachineType>> t, bool) { done(std::move(t)); });
+        }
+        Fleet& fleet;
+        std::size_t i;
+    };
+
+    // --- processes ---
+    Settings settings_of(std::size_t i) const {
+        auto s = settings;
+        s.name = nodes[i].name;
+        s.zone = s.zones[i % s.zones.size()];
+        for (const auto& n : nodes)
+            if (n.name != s.name) s.peers.push_back({n.name, "", {}});
+        return s;
+    }
+    void begin(std::size_t i) {
+        auto& n = nodes[i];
+        ++n.life;
+        begun_ = false;
+    }
+    // Not before all nodes are known by name.
+    void begin_all() {
+        begun_ = true;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            auto& n = nodes[i];
+            if (n.controller || now < n.back_at) continue;
+            ++n.life;
+            heronshift::Controller::Parts p;
+            p.state = std::make_unique<SimStore>(*this, i);
+            p.executor = std::make_unique<SimExecutor>(*this, i);
+            p.peers = std::make_unique<SimPeers>(*this, i);
+            p.clock = n.clock;
+            n.controller = std::make_unique<heronshift::Controller>(settings_of(i), std::move(p));
+            n.controller->start();
+        }
+    }
+    void crash(std::size_t i, double for_s) {
+        auto& n = nodes[i];
+        ++n.life;
+        n.controller.reset();
+        n.inbox.clear();
+        n.frozen = n.healthy = false;
+        n.back_at = now + for_s;
+        begun_ = false;
+        ways.clear(); // a new process knows nothing yet: the time in which all must be well begins anew
+    }
+    void freeze(std::size_t i, double for_s) { // its clocks run on
+        nodes[i].frozen = true;
+        nodes[i].frozen_until = now + for_s;
+        ways.clear();
+    }
+    void run_node(std::size_t i) {
+        auto& n = nodes[i];
+        if (!n.controller) {
+            begun_ = begun_ && now < n.back_at;
+            return;
+        }
+        if (n.frozen) {
+            if (now < n.frozen_until) return;
+            n.frozen = false;
+            // It goes on where it stood: what came meanwhile first, in an order that chance decides.
+            auto list = std::exchange(n.inbox, {});
+            std::shuffle(list.begin(), list.end(), rng);
+            for (auto& f : list) in_node(i, n.life, std::move(f));
+        }
+        n.controller->tick();
+        for (int k = 0; k < 4 && n.controller->wake_at() <= n.clock->now(); ++k) n.controller->wake();
+    }
+    bool acts(std::size_t i) const {
+        const auto& n = nodes[i];
+        return n.controller && n.controller->acts_until() > n.clock->now();
+    }
+    std::optional<std::size_t> holder() const {
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+            if (acts(i)) return i;
+        return {};
+    }
+
+    // --- the state service ---
+    struct Waiting {
+        std::size_t node;
+        store::Engine::Waiting w;
+        Answer<store::Answer> answer;
+    };
+    std::vector<Waiting> waiting;
+    std::uint64_t seen_epoch = 0;
+    std::int64_t now_ms() const {
+        return static_cast<std::int64_t>(now * 1000);
+    }
+    bool refuses(std::size_t i) const {
+        return store_down || nodes[i].refused_by_store;
+    }
+    void store_takes(std::size_t i, const store::Call& c, const Answer<store::Answer>& answer) {
+        if (const auto* f = std::get_if<store::Follow>(&c); f != nullptr) {
+            store::Engine::Waiting w{*f, 0, false};
+            w.until_ms = now_ms() + static_cast<std::int64_t>(f->block_s * 1000);
+            if (!refuses(i))
+                if (auto a = engine->look(w, true, now_ms()); a) return answer(std::move(*a));
+            waiting.push_back({i, std::move(w), answer});
+            return;
+        }
+        store::Answer a;
+        a.status = 503;
+        if (!refuses(i)) {
+            engine->data().begin();
+            engine->expire(now_ms());
+            a = engine->run(c, now_ms());
+            engine->data().commit();
+        }
+        answer(std::move(a));
+    }
+    void run_store() {
+        if (store_down) return;
+        engine->expire(now_ms());
+        const bool changed = std::exchange(seen_epoch, engine->data().epoch()) != engine->data().epoch();
+        for (std::size_t k = 0; k < waiting.size();) {
+            auto a = refuses(waiting[k].node) ? std::nullopt : engine->look(waiting[k].w, changed, now_ms());
+            if (!a) {
+                ++k;
+                continue;
+            }
+            waiting[k].answer(std::move(*a));
+            waiting.erase(waiting.begin() + static_cast<long>(k));
+        }
+    }
+    void end_outage() {
+        store_down = false;
+        engine->renew_all(now_ms());
+    }
+    std::optional<codec::Json> stored(const std::string& key) override {
+        const auto row = engine->data().get(key);
+        return row ? std::optional(codec::parse(row->data)) : std::nullopt;
+    }
+
+    // --- the cloud ---
+    std::map<std::string, Rented> rentals;
+    Rented rent(const Rent& r) {
+        if (const auto it = rentals.find(r.claim); it != rentals.end()) return it->second;
+        Rented out{r.claim, RentOutcome::no_capacity, {}};
+        for (int k = 0; k < r.count && capacity > 0; ++k, --capacity) {
+            out.outcome = RentOutcome::rented;
+            Worker w;
+            w.id = w.addr = fmt::format("n-{:04}", ++machines);
+            w.zone = r.zone;
+            w.spot = r.spot;
+            w.dead = true; // until it is up
+            workers[w.id] = w;
+            out.machines.push_back(w.id);
+            send(between(0.5, 3), [this, id = w.id] {
+                const auto it = workers.find(id);
+                if (it == workers.end()) return;
+                it->second.dead = false;
+                it->second.lease_from = it->second.next_beat = now;
+                it->second.node = static_cast<std::size_t>(between(0, static_cast<double>(nodes.size()) - 0.01));
+            });
+        }
+        if (out.outcome == RentOutcome::rented) rentals[r.claim] = out;
+        return out;
+    }
+
+    // --- machines: as the protocol says ---
+    void report_if_due(Worker& w) override {
+        if (w.in_flight || w.cut || now < w.next_beat) return;
+        w.in_flight = true;
+        const double sent = now;
+        http(zone(w.zone), w.node, {"POST", std::string(codec::path_report), "", codec::to_body(report(w))}, false, 4,
+             [this, id = w.id, sent, tenure = w.tenure](const std::optional<HttpReply>& a, bool) {
+                 const auto it = workers.find(id);
+                 if (it == workers.end() || it->second.dead) return;
+                 auto& x = it->second;
+                 x.in_flight = false;
+                 const int status = a && !x.cut && !x.hung ? a->status : 0;
+                 if (status == 421) {
+                     const auto to = index(codec::redirected_to(a->body));
+                     if (to != SIZE_MAX && to != x.node) {
+                         x.node = to;
+                         x.next_beat = now + between(0, 0.5);
+                         return;
+                     }
+                 }
+                 if (status != 200) {
+                     x.node = (x.node + 1) % nodes.size();
+                     x.next_beat = now + 1;
+                     return;
+                 }
+                 x.next_beat = sent + settings.report_s * between(0.75, 1.25);
+                 const auto o = codec::read_orders(a->body);
+                 if (!o || !o->fence || *o->fence < x.fence || x.tenure != tenure) return;
+                 x.fence = *o->fence;
+                 x.lease_from = std::max(x.lease_from, sent);
+                 execute(x, o->list);
+             });
+    }
+    void lapsed(Worker& w) override {
+        ++lapses;
+        if (!w.cut && !w.hung && path_since >= 0 && now - path_since > bound_s && now - w.well_since > bound_s)
+            broken.push_back(
+                fmt::format("the lease of {} ran out though it could be answered since {:.1f}", w.id, path_since));
+    }
+
+    // --- users ---
+    void ask(const JobSpec& spec) {
+        jobs[spec.id] = spec;
+        asks[spec.id] = {};
+        asks[spec.id].first_at = asks[spec.id].next_at = now;
+    }
+    void withdraw(const std::string& id) {
+        if (!asks.contains(id)) return;
+        asks[id].cancels = true;
+        asked.insert(id);
+    }
+    std::optional<std::size_t> balanced() {
+        std::vector<std::size_t> list;
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+            if (nodes[i].healthy) list.push_back(i);
+        if (list.empty()) return {};
+        return list[static_cast<std::size_t>(between(0, static_cast<double>(list.size()) - 0.01))];
+    }
+    void run_users() {
+        if (now >= next_health) {
+            next_health = now + 1;
+            for (std::size_t i = 0; i < nodes.size(); ++i)
+                http(users, i, {"GET", "/up", "", ""}, false, 1, [this, i](const std::optional<HttpReply>& a, bool) {
+                    auto& n = nodes[i];
+                    const bool ok = a && a->status == 200;
+                    n.good = ok ? n.good + 1 : 0;
+                    n.bad = ok ? 0 : n.bad + 1;
+                    if (n.good >= 2) n.healthy = true;
+                    if (n.bad >= 2) n.healthy = false;
+                });
+        }
+        std::erase_if(asks, [this](const auto& a) { return a.second.done_at >= 0 && !a.second.asking; });
+        for (auto& [id, u] : asks) {
+            if (u.asking || now < u.next_at) continue;
+            const auto to = balanced();
+            u.next_at = now + 1;
+            if (!to) continue;
+            u.asking = true;
+            const std::string path = std::string(codec::path_jobs);
+            const bool cancel = u.accepted && u.cancels;
+            HttpRequest r = !u.accepted ? HttpRequest{"POST", path, "", codec::to_body(jobs[id])}
+                            : cancel    ? HttpRequest{"POST", path + "/" + id + "/cancel", "", "{}"}
+                                        : HttpRequest{"GET", path + "/" + id, "", ""};
+            if (!u.accepted) submitted.emplace(id, now);
+            http(users, *to, std::move(r), false, u.accepted && !cancel ? 2 : 5,
+                 [this, id = id, cancel](const std::optional<HttpReply>& a, bool) { answered(id, cancel, a); });
+        }
+    }
+    void answered(const std::string& id, bool cancel, const std::optional<HttpReply>& a) {
+        auto& u = asks[id];
+        u.asking = false;
+        u.next_at = now + 1;
+        ++answers;
+        if (!a || a->status == 503 || a->status == 429) {
+            answers_503 += a.has_value();
+            return;
+        }
+        const auto j = codec::job_answer_of(a->body);
+        if (a->status == 404 && u.accepted) broken.push_back("forgotten " + id);
+        if (!j || (a->status != 200 && a->status != 201)) return;
+        if (!u.accepted) {
+            u.accepted = true;
+            u.accepted_at = now;
+        }
+        if (!u.cancels) u.next_at = now + between(2, 5);
+        if (cancel && j->status == codec::status_cancelled) cancelled.emplace(id, now);
+        hear(id, j->status);
+        if (told.contains(id)) u.done_at = now;
+    }
+
+    // --- the whole ---
+    double path_since = -1, next_health = 0;
+    void heal() {
+        for (const auto& [link, l] : std::map(links)) set(link.first, link.second, Mode::open);
+    }
+    // Since when everybody could be served, below zero: not now. By one controller that reaches the store
+    // and the cloud, and one other (or none) through which it reaches those workers and users that it does
+    // not reach itself; the same two all the time.
+    std::map<std::pair<std::size_t, std::size_t>, double> ways;
+    void look_for_paths() {
+        const auto up = [&](std::size_t i) { return nodes[i].controller && !nodes[i].frozen; };
+        std::map<std::pair<std::size_t, std::size_t>, double> kept;
+        path_since = -1;
+        for (std::size_t h = 0; h < nodes.size(); ++h) {
+            if (!up(h) || refuses(h) || !open(nodes[h].name, state) || !open(nodes[h].name, cloud)) continue;
+            for (std::size_t p = 0; p < nodes.size(); ++p) {
+                const bool helps = p != h && up(p) && open(nodes[h].name, nodes[p].name);
+                const auto by = [&](const std::string& to) {
+                    return open(nodes[h].name, to) || (helps && open(nodes[p].name, to));
+                };
+                const auto& z = settings.zones;
+                if (!by(users) || !std::all_of(z.begin(), z.end(), [&](const auto& name) { return by(zone(name)); }))
+                    continue;
+                const auto was = ways.find({h, p});
+                const double since = kept[{h, p}] = was == ways.end() ? now : was->second;
+                if (path_since < 0 || since < path_since) path_since = since;
+            }
+        }
+        ways.swap(kept);
+    }
+    int run_controllers() override {
+        if (!begun_) begin_all();
+        run_store();
+        run_users();
+        for (auto& [id, w] : workers)
+            if (w.cut || w.hung || w.dead || w.well_since < 0) w.well_since = now;
+        int holders = 0;
+        for (std::size_t i = 0; i < nodes.size(); ++i) run_node(i);
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (!acts(i)) continue;
+            ++holders;
+            if (last_holder != i) changes.push_back(now);
+            last_holder = i;
+        }
+        look_for_paths();
+        return holders;
+    }
+    void read_all() override {} // users do
+
+private:
+    bool begun_ = false;
+};
+
+} // namespace heronshift::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "heronshift/core/core.hpp"
-#include "heronshift/replay/command_log.hpp"
 #include "heronshift/office/tenancy.hpp"
+#include "heronshift/replay/command_log.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -44,6 +44,8 @@
         std::uint64_t tenure = 1, counter = 0, fence = 0;
         double lease_from = 0, next_beat = 0;
         std::size_t node = 0; // the controller it reports to
+        bool in_flight = false;
+        double well_since = -1; // not cut, hanging or dead
         struct Run {
             std::string job;
             std::uint32_t index = 0;
@@ -79,6 +81,8 @@
         }
     }
     World(const World&) = delete;
+    World& operator=(const World&) = delete;
+    virtual ~World() = default;
 
     Settings settings = small_settings(), old_settings = settings;
     std::mt19937 rng;
@@ -236,12 +240,17 @@
         }
     }
 
+    virtual std::optional<codec::Json> stored(const std::string& key) {
+        const auto it = store.find(key);
+        return it == store.end() ? std::nullopt : std::optional(it->second);
+    }
+
     void on_machine(Worker& w, Worker::Run& t) {
         const auto name = fmt::format("{}/{}", t.job, t.index);
         const auto& spec = jobs[t.job];
         ++started;
         for (const auto& id : spec.needs)
-            if (const auto f = store.find("f/" + id); f == store.end() || f->second["s"] != codec::status_done)
+            if (const auto f = stored("f/" + id); !f || (*f)["s"] != codec::status_done)
                 broken.push_back("too_early " + name + " needs " + id);
         int here = 0, in_zone = 0;
         Resources used;
@@ -267,6 +276,7 @@
     void run_worker(Worker& w) {
         if (w.dead) return;
         if (now > w.lease_from + settings.lease_s) {
+            lapsed(w);
             w.tasks.clear();
             ++w.tenure;
             w.lease_from = now;
@@ -291,38 +301,41 @@
                 done_tasks.insert(fmt::format("{}/{}", t.job, t.index));
             }
         }
-        if (now >= w.next_beat) {
-            w.next_beat = now + settings.report_s * between(0.75, 1.25);
-            if (w.cut) return;
-            const double sent = now;
-            auto r = report(w);
-            const double delay = chance() < late ? between(5, 60) : between(0, 0.2);
-            if (chance() < beat_loss) return;
-            send(delay, [this, id = w.id, r, sent, tenure = w.tenure, node = w.node] {
-                auto& c = controllers[node];
-                auto refused = [this, id] {
-                    if (auto it = workers.find(id); it != workers.end())
-                        it->second.node =
-                            chance() < 0.5 || !office ? (it->second.node + 1) % controllers.size() : office->node;
-                };
-                if (!c.core || c.no_workers) return refused();
-                const auto h = ++handles;
-                beats[h] = [this, id, sent, tenure, refused](int status, std::uint64_t fence,
-                                                             std::vector<Order> orders) {
-                    if (status != 200) return refused();
-                    send(between(0, 0.2), [this, id, sent, tenure, fence, orders] {
-                        auto it = workers.find(id);
-                        if (it == workers.end() || it->second.dead || it->second.hung || it->second.cut) return;
-                        auto& x = it->second;
-                        if (now > sent + 4 || x.tenure != tenure || fence < x.fence) return;
-                        x.fence = fence;
-                        x.lease_from = std::max(x.lease_from, sent);
-                        execute(x, orders);
-                    });
-                };
-                c.queue.push_back(Beat{r, h});
-            });
-        }
+        report_if_due(w);
+    }
+
+    virtual void lapsed(Worker& /*w*/) {}
+    virtual void report_if_due(Worker& w) {
+        if (now < w.next_beat) return;
+        w.next_beat = now + settings.report_s * between(0.75, 1.25);
+        if (w.cut) return;
+        const double sent = now;
+        auto r = report(w);
+        const double delay = chance() < late ? between(5, 60) : between(0, 0.2);
+        if (chance() < beat_loss) return;
+        send(delay, [this, id = w.id, r, sent, tenure = w.tenure, node = w.node] {
+            auto& c = controllers[node];
+            auto refused = [this, id] {
+                if (auto it = workers.find(id); it != workers.end())
+                    it->second.node =
+                        chance() < 0.5 || !office ? (it->second.node + 1) % controllers.size() : office->node;
+            };
+            if (!c.core || c.no_workers) return refused();
+            const auto h = ++handles;
+            beats[h] = [this, id, sent, tenure, refused](int status, std::uint64_t fence, std::vector<Order> orders) {
+                if (status != 200) return refused();
+                send(between(0, 0.2), [this, id, sent, tenure, fence, orders] {
+                    auto it = workers.find(id);
+                    if (it == workers.end() || it->second.dead || it->second.hung || it->second.cut) return;
+                    auto& x = it->second;
+                    if (now > sent + 4 || x.tenure != tenure || fence < x.fence) return;
+                    x.fence = fence;
+                    x.lease_from = std::max(x.lease_from, sent);
+                    execute(x, orders);
+                });
+            };
+            c.queue.push_back(Beat{r, h});
+        });
     }
 
     void perform(Controller& c, const Effect& effect) {
@@ -562,6 +575,18 @@
         std::shuffle(due.begin(), due.end(), rng);
         for (auto& m : due) m.f();
         for (auto& [id, w] : workers) run_worker(w);
+        const int holders = run_controllers();
+        // Any node answers from the store.
+        if (!store_down && ++steps % 20 == 0) read_all();
+        if (holders > 1) broken.push_back("two holders");
+        for (const auto& [id, w] : workers)
+            for (const auto& t : w.tasks)
+                if (!w.dead && t.state == TaskState::running && cancelled.contains(t.job) &&
+                    now > cancelled[t.job] + settings.cancel_s)
+                    broken.push_back("ran_cancelled " + t.job);
+    }
+
+    virtual int run_controllers() { // how many may act
         int holders = 0;
         for (std::size_t i = 0; i < controllers.size(); ++i) {
             auto& c = controllers[i];
@@ -579,23 +604,19 @@
             for (const auto& [id, spec] : jobs)
                 if (const auto v = c.core->view(id); v) hear(id, v->status);
         }
-        // Any node answers from the store.
-        if (!store_down && ++steps % 20 == 0)
-            for (const auto& [id, spec] : jobs) {
-                const auto f = store.find("f/" + id);
-                if (f != store.end())
-                    hear(id, f->second["s"].get<std::string>());
-                else if (store.contains("j/" + id))
-                    hear(id, codec::status_pending);
-                else
-                    broken.push_back("forgotten " + id);
-            }
-        if (holders > 1) broken.push_back("two holders");
-        for (const auto& [id, w] : workers)
-            for (const auto& t : w.tasks)
-                if (!w.dead && t.state == TaskState::running && cancelled.contains(t.job) &&
-                    now > cancelled[t.job] + settings.cancel_s)
-                    broken.push_back("ran_cancelled " + t.job);
+        return holders;
+    }
+
+    virtual void read_all() {
+        for (const auto& [id, spec] : jobs) {
+            const auto f = store.find("f/" + id);
+            if (f != store.end())
+                hear(id, f->second["s"].get<std::string>());
+            else if (store.contains("j/" + id))
+                hear(id, codec::status_pending);
+            else
+                broken.push_back("forgotten " + id);
+        }
     }
 
     void run(double seconds) {
