The holder keeps its office through outages that nobody escapes; old words prove nothing

In an outage of the cloud it went to one that had reached the cloud at its start. Change: views say how long ago store and cloud answered; while this node's own link is lost, only answers later than its first failure count, and without the store the office is handed to nobody. Machines that were given back are not asked for a sign of life. With it, recovered: a view that was held up is as old as it is, a holder that the store does not serve in time gives up, a stale holder hears of the next term.

--- a/include/heronshift/membership/link.hpp
+++ b/include/heronshift/membership/link.hpp
@@ -34,6 +34,10 @@
     [[nodiscard]] double failed_at() const {
         return failed_at_;
     }
+    // Since when every attempt has failed; meaningful while it is lost.
+    [[nodiscard]] double failing_since() const {
+        return first_failed_;
+    }
 
 private:
     Patience p_;
--- a/include/heronshift/membership/membership.hpp
+++ b/include/heronshift/membership/membership.hpp
@@ -73,7 +73,8 @@
 
     // Of the others. Alive: its view came a short while ago.
     [[nodiscard]] bool alive(const std::string& name) const;
-    [[nodiscard]] bool all_alive() const;
+    // All others are alive, and none of them reaches workers and store.
+    [[nodiscard]] bool nobody_better() const;
     [[nodiscard]] bool in_touch() const; // with the store or any other controller
     // The fittest of those alive, if it is surely fitter than this node.
     [[nodiscard]] std::optional<std::string> fitter() const;
@@ -81,6 +82,8 @@
     [[nodiscard]] Standing standing(const std::string& peer) const;
     // A peer that reaches the store and is reached from here: the one named, if it is one of them.
     [[nodiscard]] std::optional<std::string> with_store(const std::string& rather) const;
+    // While the store does not answer this node: a peer that it has answered since.
+    [[nodiscard]] std::optional<std::string> served_instead(const std::string& rather) const;
     // A peer that reaches the workers of a zone and is reached from here.
     [[nodiscard]] std::optional<std::string> way_to(const std::string& zone);
     // Whether a worker of this zone should report to the holder itself: so unless the holder says it
@@ -116,11 +119,14 @@
         explicit Other(const Settings& s);
         Link link;
         View view;
-        double at = -1; // when the view came; below zero: never
+        double at = -1;                      // when the view came; below zero: never
+        double store_at = -1, cloud_at = -1; // not before this those answered it last; below zero: nobody knows
         bool asking = false;
     };
     [[nodiscard]] View own_view() const;
     [[nodiscard]] Standing standing(const View& v, bool doubt) const;
+    [[nodiscard]] Standing standing(const Other& o) const;
+    [[nodiscard]] bool since_lost(double at, const Link& mine) const;
     [[nodiscard]] Reach reach(const Zone& z) const;
     void trust(Zone& z);
     void remember(Zone& z, const std::string& addr);
--- a/include/heronshift/membership/view.hpp
+++ b/include/heronshift/membership/view.hpp
@@ -18,9 +18,11 @@
 
 struct View {
     std::string node;
+    double sent = 0; // by the sender's wall clock, seconds since 1970
     Reach store = Reach::unknown, cloud = Reach::unknown;
-    std::map<std::string, Reach> zones;                       // their workers
-    std::map<std::string, Reach> peers;                       // who answers this node
+    double store_s = -1, cloud_s = -1;  // since those last answered, when this was said; below zero: not said
+    std::map<std::string, Reach> zones; // their workers
+    std::map<std::string, Reach> peers; // who answers this node
     std::map<std::string, std::vector<std::string>> machines; // addresses of some that were heard of lately, by zone
     // The office: who holds it by what the store told this node itself (sees_office), or by hearsay.
     std::string holder;
--- a/include/heronshift/office/office.hpp
+++ b/include/heronshift/office/office.hpp
@@ -71,8 +71,8 @@
         return holder_term_;
     }
     [[nodiscard]] bool sees_office() const { // the store told it to this node, a short while ago
-        return state_ == State::held || (seen_at_ >= 0 && later_.now() - seen_at_ < 2 * s_.report_s &&
-                                         members_.store() != membership::Reach::lost);
+        return valid() || (state_ == State::standby && seen_at_ >= 0 && later_.now() - seen_at_ < 2 * s_.report_s &&
+                           members_.store() != membership::Reach::lost);
     }
     [[nodiscard]] double taken_at() const {
         return taken_at_;
@@ -95,6 +95,7 @@
     void took();
     void renew();
     void consider_others();
+    void give_up_if_unserved();
     [[nodiscard]] bool is_deaf(double t) const;
     void end_term(const std::string& why, const std::vector<std::string>& successors);
     void offer(const std::string& body, std::vector<std::string> to);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -17,6 +17,7 @@
 constexpr double samples_leases = 2;     // how long an address is worth asking
 constexpr double yield_leases = 1.0 / 4; // an office that a fitter one should take is left to it for so long
 constexpr double stagger_reports = 1.0 / 40;
+constexpr double answer_reports = 1.0 / 10; // an answer that was under way when an outage began may take so long
 constexpr std::size_t few_machines = 4;
 constexpr int probes_a_round = 2;
 
@@ -146,14 +147,19 @@
 void Membership::watch_silence() {
     if (!host_.acts()) return;
     const double t = later_.now();
-    for (const auto& [name, machines] : host_.machines_by_zone()) {
-        auto* z = find_zone(name);
-        if (z == nullptr || machines == 0) continue;
-        if (z->in.lost() && t - z->in.failed_at() > s_.lease_s) trust(*z);
+    const auto by_zone = host_.machines_by_zone();
+    for (auto& [name, z] : zones_) {
+        const auto there = by_zone.find(name);
+        const auto machines = there == by_zone.end() ? 0 : there->second;
+        if (machines == 0) {
+            z.samples.clear(); // given back: that they are silent says nothing
+            continue;
+        }
+        if (z.in.lost() && t - z.in.failed_at() > s_.lease_s) trust(z);
         const double patience = machines < few_machines ? silence_few_reports : silence_reports;
-        const double since = std::max({z->heard_at, z->relayed_at, z->trusted_at, host_.acts_since()});
+        const double since = std::max({z.heard_at, z.relayed_at, z.trusted_at, host_.acts_since()});
         if (t - since < patience * s_.report_s) continue;
-        if (z->in.failed(t)) changed(fmt::format("workers in {}", name), Reach::lost);
+        if (z.in.failed(t)) changed(fmt::format("workers in {}", name), Reach::lost);
     }
 }
 
@@ -181,6 +187,10 @@
 void Membership::probe_zone(const std::string& name, Zone& z) {
     const double t = later_.now();
     std::erase_if(z.samples, [&](const auto& x) { return t - x.at > samples_leases * s_.lease_s; });
+    // Machines that were given back answer nobody: where others report, those that do not are not asked. (The
+    // office was handed on, its zone of two machines taken for lost.)
+    const auto silent = [&](const auto& x) { return t - x.at > silence_reports * s_.report_s; };
+    if (!std::all_of(z.samples.begin(), z.samples.end(), silent)) std::erase_if(z.samples, silent);
     if (z.probes > z.answered || z.samples.empty()) return;
     z.probes = z.answered = 0;
     const auto n = std::min<std::size_t>(probes_a_round, z.samples.size());
@@ -210,8 +220,12 @@
 View Membership::own_view() const {
     View v;
     v.node = s_.name;
+    v.sent = later_.wall();
     v.store = store_.reach();
     v.cloud = cloud_.reach();
+    const auto since = [t = later_.now()](const Link& l) { return l.worked_at() < 0 ? -1 : t - l.worked_at(); };
+    v.store_s = since(store_);
+    v.cloud_s = since(cloud_);
     for (const auto& [name, z] : zones_) v.zones[name] = reach(z);
     for (const auto& [name, o] : others_) v.peers[name] = o.link.reach();
     v.holder = host_.holder();
@@ -231,10 +245,16 @@
         o.asking = true;
         ++exchanges_;
         peers_.request(Lane::control, name, "POST", peer_view, body, exchange_wait * s_.report_s,
-                       [this, name](HttpReply&& r) {
-                           others_.at(name).asking = false;
+                       [this, name, sent = later_.now()](HttpReply&& r) {
+                           auto& to = others_.at(name);
+                           to.asking = false;
                            if (r.status != 200) return;
-                           if (auto v = view(r.body); v && v->node == name) took(std::move(*v));
+                           auto v = view(r.body);
+                           if (!v || v->node != name) return;
+                           // An answer was made after its question was sent, however long it took to come.
+                           if (v->store_s >= 0) to.store_at = std::max(to.store_at, sent - v->store_s);
+                           if (v->cloud_s >= 0) to.cloud_at = std::max(to.cloud_at, sent - v->cloud_s);
+                           took(std::move(*v));
                        });
     }
 }
@@ -249,7 +269,10 @@
 void Membership::took(View&& v) {
     const auto it = others_.find(v.node);
     if (it == others_.end()) return;
+    // One that was held up on the way is as old as it is; clocks differ by the bound of the settings.
+    const double late = std::max(0.0, later_.wall() - v.sent - 2 * s_.time_bound_s);
     const double t = later_.now();
+    if (t - late < it->second.at) return;
     for (const auto& [name, list] : v.machines) {
         auto* z = find_zone(name);
         if (z == nullptr || list.empty() || host_.acts() || !(v.acts || z->samples.empty())) continue;
@@ -259,7 +282,7 @@
         for (const auto& addr : list) z->samples.push_back({addr, at});
     }
     it->second.view = std::move(v);
-    it->second.at = t;
+    it->second.at = t - late;
 }
 
 // --- what is thought ---
@@ -297,8 +320,12 @@
     return it != others_.end() && fresh(it->second);
 }
 
-bool Membership::all_alive() const {
-    return std::all_of(others_.begin(), others_.end(), [this](const auto& o) { return fresh(o.second); });
+bool Membership::nobody_better() const {
+    return std::all_of(others_.begin(), others_.end(), [this](const auto& o) {
+        if (!fresh(o.second)) return false;
+        const auto x = standing(o.second.view, true);
+        return x.store == 0 || x.zones + x.zones_by_others == 0;
+    });
 }
 
 bool Membership::in_touch() const {
@@ -332,21 +359,35 @@
     return out;
 }
 
+// Whether somebody else got an answer after this node's own link had begun to fail. From a day on which the
+// holder gave the office up in an outage of the store: the last view of a peer, 0.6 s old, said it was there.
+bool Membership::since_lost(double at, const Link& mine) const {
+    return !mine.lost() || at > mine.failing_since() + answer_reports * s_.report_s;
+}
+
+// Surely so: what others reach counts only if that is newer than the failure here.
+Standing Membership::standing(const Other& o) const {
+    auto out = standing(o.view, false);
+    if (!since_lost(o.store_at, store_)) out.store = 0;
+    if (!since_lost(o.cloud_at, cloud_)) out.cloud = 0;
+    return out;
+}
+
 Standing Membership::own() const {
     return standing(own_view(), true);
 }
 
 Standing Membership::standing(const std::string& peer) const {
     const auto it = others_.find(peer);
-    return it == others_.end() || !fresh(it->second) ? Standing{} : standing(it->second.view, false);
+    return it == others_.end() || !fresh(it->second) ? Standing{} : standing(it->second);
 }
 
 std::optional<std::string> Membership::fitter() const {
     std::optional<std::string> best;
     auto most = own();
     for (const auto& [name, o] : others_) {
-        if (!fresh(o) || o.link.lost()) continue;
-        if (const auto x = standing(o.view, false); x > most) {
+        if (!fresh(o)) continue;
+        if (const auto x = standing(o); x > most) {
             most = x;
             best = name;
         }
@@ -365,7 +406,7 @@
         before += x == mine && name < s_.name;
     }
     // Deaf, and not all the others are known to be no better.
-    if (mine.zones + mine.zones_by_others == 0 && !s_.zones.empty() && !all_alive()) return yield;
+    if (mine.zones + mine.zones_by_others == 0 && !s_.zones.empty() && !nobody_better()) return yield;
     return before * stagger_reports * s_.report_s;
 }
 
@@ -378,6 +419,15 @@
     return out;
 }
 
+std::optional<std::string> Membership::served_instead(const std::string& rather) const {
+    std::optional<std::string> out;
+    for (const auto& [name, o] : others_) {
+        if (!fresh(o) || o.view.store != Reach::works || !store_.lost() || !since_lost(o.store_at, store_)) continue;
+        if (!out || name == rather) out = name;
+    }
+    return out;
+}
+
 std::optional<std::string> Membership::way_to(const std::string& zone) {
     std::vector<const std::string*> ways;
     for (const auto& [name, o] : others_) {
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -54,8 +54,11 @@
 
 std::string to_body(const View& v) {
     return Json{{"node", v.node},
+                {"sent", v.sent},
                 {"store", word(v.store)},
+                {"storeS", v.store_s},
                 {"cloud", word(v.cloud)},
+                {"cloudS", v.cloud_s},
                 {"zones", to_json(v.zones)},
                 {"peers", to_json(v.peers)},
                 {"machines", v.machines},
@@ -72,6 +75,12 @@
     View v;
     v.node = text(j, "node");
     if (v.node.empty()) return {};
+    const auto number = [&](const char* name, double& into) {
+        if (const auto t = j.find(name); t != j.end() && t->is_number()) into = t->get<double>();
+    };
+    number("sent", v.sent);
+    number("storeS", v.store_s);
+    number("cloudS", v.cloud_s);
     const auto field = [&](const char* name) { return j.contains(name) ? reach(j[name]) : Reach::unknown; };
     v.store = field("store");
     v.cloud = field("cloud");
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -196,7 +196,7 @@
     std::map<std::string, std::size_t> out;
     if (core_)
         for (const auto& [id, m] : core_->state().machines)
-            if (m->status == ledger::Status::up) ++out[m->zone_name];
+            if (m->status == ledger::Status::up && !m->releasing) ++out[m->zone_name];
     return out;
 }
 
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -16,6 +16,7 @@
 constexpr double deaf_leases = 0.5;                    // the same for one that never heard any in this term
 constexpr double steady_reports = 0.5;                 // for so long another must be fitter
 constexpr double unserved_holds = 0.45;                // of its length, not renewed while the store serves others
+constexpr double unserved_leases = 0.5;                // for so long the office may stand without anybody who may act
 constexpr double look_reports = 1.0 / 10;
 constexpr double forget_reports = 2; // without the store's or a peer's word
 constexpr std::size_t few_machines = 4;
@@ -44,8 +45,9 @@
     if ((state_ == State::held || state_ == State::loading) && t >= next_renew_) renew();
     if (t < next_look_) return;
     next_look_ = t + look_reports * s_.report_s;
-    if (valid()) consider_others();
-    if (state_ == State::standby) hear_of_holder();
+    if (valid()) return consider_others();
+    hear_of_holder();
+    if (state_ == State::held || state_ == State::loading) give_up_if_unserved();
 }
 
 // Whether another should hold the office, by one order: the store before workers, workers reached directly
@@ -54,10 +56,13 @@
 void Office::consider_others() {
     const double t = later_.now();
     // Cut off from the store while it serves others: the hold runs out, and waiting for that gains nothing.
-    if (t - tenancy_.renewed_at() > unserved_holds * tenancy_.ttl_s() && members_.store() == membership::Reach::lost)
-        if (const auto to = members_.with_store(members_.fitter().value_or("")); to)
+    if (t - tenancy_.renewed_at() > unserved_holds * tenancy_.ttl_s())
+        if (const auto to = members_.served_instead(members_.fitter().value_or("")); to)
             return end_term(fmt::format("the store serves {}, not this node", *to), {*to});
-    const auto fitter = members_.fitter();
+    // Nobody else can take the office without the store. (In outages the holder gave it up to one that reached
+    // one zone more; it stood empty until the store was back, and all leases ran out.)
+    const bool served = members_.store() != membership::Reach::lost;
+    const auto fitter = served ? members_.fitter() : std::nullopt;
     if (!fitter)
         fitter_since_ = -1;
     else if (fitter_since_ < 0)
@@ -68,12 +73,21 @@
             fmt::format("{} is fitter ({}; here {})", *fitter, say(members_.standing(*fitter)), say(members_.own())),
             {*fitter});
     // The leases of all machines would run out. Where all others are known to be no better, this node stays.
-    if (deaf && !fitter && !members_.all_alive()) {
+    if (deaf && served && !fitter && !members_.nobody_better()) {
         ++deaf_ends_;
         end_term("no worker has been heard of for a while", {});
     }
 }
 
+// A store so slow that answers come too late goes on extending the hold, while nobody may act.
+void Office::give_up_if_unserved() {
+    const double since = held() ? std::max(tenancy_.until(), taken_at_) : taken_at_;
+    if (later_.now() - since > unserved_leases * s_.lease_s) return end_term("the store has not answered for long", {});
+    if (!held()) return;
+    if (const auto to = members_.served_instead(""); to)
+        end_term(fmt::format("the store serves {}, not this node", *to), {*to});
+}
+
 // No word from any worker, whichever way, for longer than all of them need to report; sooner if those that
 // are asked do not answer either, later if there was none in this term yet.
 bool Office::is_deaf(double t) const {
@@ -147,11 +161,15 @@
     const auto said = members_.office();
     if (sees_office() || (said && said->holder == holder_ && said->term == holder_term_)) known_at_ = t;
     // What was known long ago is worse than nothing: others would be sent to a holder that is none.
-    if (!holder_.empty() && t - known_at_ > forget_reports * s_.report_s) {
+    if (state_ == State::standby && !holder_.empty() && t - known_at_ > forget_reports * s_.report_s) {
         spdlog::info("who holds the office is not known here any more");
         holder_.clear();
     }
     if (!said || said->holder == s_.name || said->holder == holder_) return;
+    // Cut off from the store, a holder whose time is over would never learn that another has taken its
+    // place, and would keep its machines waiting.
+    if (held() && said->term > term_) return end_term(said->holder + " has begun another term", {});
+    if (state_ != State::standby) return;
     if (said->term < holder_term_ || (said->term == holder_term_ && sees_office())) return;
     known_at_ = t;
     if (!said->holder.empty()) spdlog::info("the office is held by {}, says a peer", said->holder);
