Ordinary machines: what may use nothing else is counted on its own

Cause: hitung-muatan may not use spot, but its need was part of one sum with all CPUs, and shrinking takes the dearest machines, the ordinary ones, first: its tasks waited up to 160 s while spot machines stood free. Change: need, offered work and shrinking know the part that only ordinary machines serve; the learned part goes to the next holder. A job's class, team and size are in the log.

--- a/include/heronshift/ledger/state.hpp
+++ b/include/heronshift/ledger/state.hpp
@@ -150,6 +150,7 @@
 // What the day has taught; goes from holder to holder through the store.
 struct Learned {
     double offered = 0, offered_at = 0;         // work that arrays bring, in CPUs, averaged
+    double offered_ordinary = 0;                // of that: may not use spot machines
     double spot_losses = 0, spot_losses_at = 0; // of machines, averaged
     double ran_s = 1, estimated_s = 1;          // of tasks done lately
     [[nodiscard]] double bias() const {
--- a/include/heronshift/policies/capacity.hpp
+++ b/include/heronshift/policies/capacity.hpp
@@ -16,8 +16,14 @@
     void note_fleet(); // one line a kind of machine, for operators
 
 private:
-    [[nodiscard]] double array_need() const;
-    [[nodiscard]] double offered() const;
+    struct Cpus {
+        double all = 0, ordinary = 0; // of that: for work that may not use spot
+    };
+    [[nodiscard]] Cpus array_need() const;
+    [[nodiscard]] Cpus offered() const;
+    static bool plain(const Machine& m) { // may serve what uses no spot and no accelerators
+        return !m.spot && m.whole.gpus <= 0;
+    }
     static double price_per_cpu(const MachineType& t, bool spot);
     std::string cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear, Pending& out) const;
     const Machine* keep_again(const Job& j);
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -740,9 +740,11 @@
     if (j.spec.shape != Shape::array) return;
     auto& l = st_.learned;
     const double over = st_.average_s();
-    l.offered *= std::exp(-(st_.now - l.offered_at) / over);
+    const double left = std::exp(-(st_.now - l.offered_at) / over);
+    const double more = st_.work_left(j) / over * std::exp(-std::max(0.0, st_.now - j.ready) / over);
+    l.offered = l.offered * left + more;
+    l.offered_ordinary = l.offered_ordinary * left + (j.spec.spot ? 0 : more);
     l.offered_at = st_.now;
-    l.offered += st_.work_left(j) / over * std::exp(-std::max(0.0, st_.now - j.ready) / over);
 }
 
 // Tasks of one job take much the same time, so the longest of those that are through tells what is
--- a/src/ledger/needs.cpp
+++ b/src/ledger/needs.cpp
@@ -22,6 +22,11 @@
         const auto at = std::find_if(list.rbegin(), list.rend(), [&](const auto& o) { return o->ready <= j.ready; });
         list.emplace(at.base(), &j);
     }
+    note(0,
+         fmt::format("job {} of class {} and team {}: {} tasks of {:.1f} CPUs, {:.0f} s expected, {:.1f} s after its "
+                     "submission",
+                     j.spec.id, j.spec.job_class, j.spec.team, j.spec.tasks, j.spec.each.cpus, j.spec.estimate_s,
+                     st_.now - j.submitted));
     for (std::uint32_t i = 0; i < j.spec.tasks; ++i) queue_task(j, i, false);
     offer(j);
     dirty_ = true;
--- a/src/policies/capacity.cpp
+++ b/src/policies/capacity.cpp
@@ -27,10 +27,12 @@
 } // namespace
 
 // The CPUs that arrays need to be in time: of all jobs due before some moment, the work left over the
-// time left, though never more than all their tasks at once.
-double Capacity::array_need() const {
+// time left, though never more than all their tasks at once. For those that may not use spot machines it is
+// counted on its own: on a day with spot room to spare they waited 160 s for an ordinary machine.
+Capacity::Cpus Capacity::array_need() const {
     struct Due {
         double window, work, at_once;
+        bool spot;
     };
     std::vector<Due> list;
     for (const auto& [id, j] : v_.jobs) {
@@ -42,20 +44,27 @@
         if (j->guaranteed)
             for (const auto& o : s_.objectives)
                 if (o.kind == "guarantee") window = std::min(window, j->ready + o.within_s - v_.now);
-        list.push_back({std::max(window, 1e-3), each * run * (waiting + 0.5 * j->live), each * (waiting + j->live)});
+        list.push_back(
+            {std::max(window, 1e-3), each * run * (waiting + 0.5 * j->live), each * (waiting + j->live), j->spec.spot});
     }
     std::sort(list.begin(), list.end(), [](const Due& a, const Due& b) { return a.window < b.window; });
-    double need = 0, work = 0, at_once = 0;
-    for (const auto& d : list) {
-        work += d.work;
-        at_once += d.at_once;
-        need = std::max(need, std::min(at_once, work / d.window));
-    }
-    return need;
+    const auto need = [&list](bool ordinary) {
+        double most = 0, work = 0, at_once = 0;
+        for (const auto& d : list) {
+            if (ordinary && d.spot) continue;
+            work += d.work;
+            at_once += d.at_once;
+            most = std::max(most, std::min(at_once, work / d.window));
+        }
+        return most;
+    };
+    return {need(false), need(true)};
 }
 
-double Capacity::offered() const {
-    return v_.learned.offered * v_.learned.bias() * std::exp(-(v_.now - v_.learned.offered_at) / v_.average_s());
+Capacity::Cpus Capacity::offered() const {
+    const auto& l = v_.learned;
+    const double left = l.bias() * std::exp(-(v_.now - l.offered_at) / v_.average_s());
+    return {l.offered * left, l.offered_ordinary * left};
 }
 
 double Capacity::price_per_cpu(const MachineType& t, bool spot) {
@@ -105,8 +114,8 @@
     };
     std::vector<Coming> coming;
     std::map<std::string, int> in_zone;
-    double have = 0; // CPUs that arrays have or will have
-    int ready = 0;   // machines that a gang may have, if need be by taking the place of arrays
+    double have = 0, have_ordinary = 0; // CPUs that arrays have or will have
+    int ready = 0;                      // machines that a gang may have, if need be by taking the place of arrays
     for (const auto& [id, m] : v_.machines) {
         if (m->status != Status::lost) ++in_zone[m->zone_name];
         const auto* t = v_.type_of(m->type_name);
@@ -114,6 +123,7 @@
             coming.push_back({t->room, t, m->zone_name, m->spot});
         if (!serves(v_, *m) || m->retiring) continue;
         have += m->whole.cpus - m->firm.cpus;
+        if (plain(*m)) have_ordinary += m->whole.cpus - m->firm.cpus;
         ready += is_ready(*m);
     }
     for (const auto& [claim, p] : v_.rentals) {
@@ -121,8 +131,14 @@
         if (const auto* t = v_.type_of(p.type); t != nullptr)
             for (int i = 0; i < p.count; ++i) coming.push_back({t->room, t, p.zone, p.spot});
     }
-    for (const auto& c : coming) have += c.free.cpus;
-    const double need = array_need() * spare;
+    for (const auto& c : coming) {
+        have += c.free.cpus;
+        if (!c.spot && c.free.gpus <= 0) have_ordinary += c.free.cpus;
+    }
+    const auto need = array_need();
+    const auto short_of = [&](const Job& j) {
+        return have < need.all * spare || (!j.spec.spot && have_ordinary < need.ordinary * spare);
+    };
 
     std::map<std::string, Pending> wanted;
     auto source_for = [&](const Job& j, int left) {
@@ -137,15 +153,16 @@
                 left -= n;
             }
             // A machine on its way out is up already and costs no boot.
-            while (left > 0 && (!array || have < need)) {
+            while (left > 0 && (!array || short_of(j))) {
                 auto* m = keep_again(j);
                 if (m == nullptr) break;
                 have += m->whole.cpus;
+                if (plain(*m)) have_ordinary += m->whole.cpus;
                 left -= static_cast<int>(fit_of(j.spec.each, m->whole - m->firm));
             }
             if (left <= 0) break;
             Pending source;
-            const auto key = cheapest_source(j, in_zone, !array || have < need, source);
+            const auto key = cheapest_source(j, in_zone, !array || short_of(j), source);
             if (key.empty()) break;
             auto& w = wanted[key];
             if (w.type.empty()) w = source;
@@ -154,6 +171,7 @@
             ++in_zone[source.zone];
             const auto* t = v_.type_of(source.type);
             have += t->room.cpus;
+            if (!source.spot && t->room.gpus <= 0) have_ordinary += t->room.cpus;
             coming.push_back({t->room, t, source.zone, source.spot});
         }
     };
@@ -212,6 +230,7 @@
     // A new holder first hears what runs where, and what comes.
     if (v_.term > 1 && v_.now - v_.started < s_.lease_s) return;
     double have = 0, need = 0, largest_gang = 0, gang_machines = 0, ready = 0;
+    double have_ordinary = 0, need_ordinary = 0; // of these: on ordinary machines without accelerators
     std::vector<const Machine*> list;
     std::unordered_map<const Machine*, double> lasting;
     for (const auto& [id, m] : v_.machines) {
@@ -225,10 +244,14 @@
             }
         }
         have += m->whole.cpus;
-        need += services + gangs;
+        const double lasts = services + gangs + (m->pool ? v_.service_shape.cpus * 2 : 0); // usable() leaves those
+        need += lasts;
+        if (plain(*m)) {
+            have_ordinary += m->whole.cpus;
+            need_ordinary += lasts;
+        }
         gang_machines += gangs > 0;
         ready += is_ready(*m);
-        if (m->pool) need += v_.service_shape.cpus * 2; // what usable(v_, ) leaves free there
         lasting[m.get()] = services;
         const bool paid = v_.now - m->known_since < least_charged_s;
         if (!m->pool && gangs <= 0 && !paid && (m->reserved_for == nullptr || v_.now >= m->reserved_until))
@@ -239,11 +262,13 @@
         if (j->spec.shape != Shape::array) need += j->spec.each.cpus * static_cast<double>(j->pending.size());
         if (j->spec.shape == Shape::gang) largest_gang = std::max(largest_gang, static_cast<double>(j->spec.tasks));
     }
-    const double arrays = std::max(array_need(), offered());
+    const auto due = array_need(), brought = offered();
     out_.note(0,
-              fmt::format("capacity: {:.0f} CPUs, {:.0f} for services and gangs, arrays need {:.0f} and bring {:.0f}",
-                          have, need, array_need(), offered()));
-    need += arrays * spare;
+              fmt::format("capacity: {:.0f} CPUs ({:.0f} ordinary), {:.0f} for services and gangs, arrays need {:.0f} "
+                          "({:.0f}) and bring {:.0f} ({:.0f})",
+                          have, have_ordinary, need, due.all, due.ordinary, brought.all, brought.ordinary));
+    need += std::max(due.all, brought.all) * spare;
+    need_ordinary += std::max(due.ordinary, brought.ordinary) * spare;
     std::sort(list.begin(), list.end(), [&](const Machine* a, const Machine* b) {
         const double pa = price_per_cpu(v_.types[static_cast<std::size_t>(a->type)], a->spot);
         const double pb = price_per_cpu(v_.types[static_cast<std::size_t>(b->type)], b->spot);
@@ -255,6 +280,10 @@
     keep_ready_ = gang_machines * spare_gangs + largest_gang;
     for (auto* m : list) {
         if (have - m->whole.cpus < need) return;
+        if (plain(*m)) {
+            if (have_ordinary - m->whole.cpus < need_ordinary) continue;
+            have_ordinary -= m->whole.cpus;
+        }
         if (m->whole.gpus > 0 && !m->spot) {
             if (ready - 1 < keep_ready_) continue;
             --ready;
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -532,14 +532,16 @@
     if (l_.st_.now < next_learned_ || d.full(most_ops_ / 2)) return;
     next_learned_ = l_.st_.now + 2 * s_.report_s;
     const double over = l_.st_.average_s();
+    const double left = std::exp(-(l_.st_.now - l_.st_.learned.offered_at) / over);
     d.add(learned_key,
           codec::Json{{"at", l_.st_.wall},
-                      {"offered", l_.st_.learned.offered * std::exp(-(l_.st_.now - l_.st_.learned.offered_at) / over)},
+                      {"offered", l_.st_.learned.offered * left},
+                      {"offeredOrdinary", l_.st_.learned.offered_ordinary * left},
                       {"ran", l_.st_.learned.ran_s},
                       {"estimated", l_.st_.learned.estimated_s},
                       {"spotLosses",
                        l_.st_.learned.spot_losses * std::exp(-(l_.st_.now - l_.st_.learned.spot_losses_at) / over)}},
-          120);
+          160);
 }
 
 void Records::load_learned(const codec::Item& i, double wall) {
@@ -555,6 +557,9 @@
     l_.st_.learned.offered =
         std::max(l_.st_.learned.offered, offered * left); // jobs read from the store are part of it
     l_.st_.learned.spot_losses = losses * left;
+    // The versions before do not say it.
+    l_.st_.learned.offered_ordinary =
+        std::max(l_.st_.learned.offered_ordinary, std::max(0.0, number("offeredOrdinary")) * left);
     l_.st_.learned.offered_at = l_.st_.learned.spot_losses_at = l_.st_.now;
     l_.st_.learned.ran_s = ran;
     l_.st_.learned.estimated_s = estimated;
