On ordinary machines what may use nothing else goes first, until others' aims are in danger

Cause: rencana-dek and tagih-truk filled the ordinary machines, hitung-muatan waited behind them. Change: while an array waits that may not use spot machines, those that may leave ordinary ones to it for half of their class's first start aim, or a quarter of the time to their deadline.

--- a/include/heronshift/policies/capacity.hpp
+++ b/include/heronshift/policies/capacity.hpp
@@ -21,9 +21,6 @@
     };
     [[nodiscard]] Cpus array_need() const;
     [[nodiscard]] Cpus offered() const;
-    static bool plain(const Machine& m) { // may serve what uses no spot and no accelerators
-        return !m.spot && m.whole.gpus <= 0;
-    }
     static double price_per_cpu(const MachineType& t, bool spot);
     std::string cheapest_source(const Job& j, const std::map<std::string, int>& in_zone, bool dear, Pending& out) const;
     const Machine* keep_again(const Job& j);
--- a/include/heronshift/policies/common.hpp
+++ b/include/heronshift/policies/common.hpp
@@ -23,6 +23,12 @@
 // What counts as capacity: a machine that is up, heard of and not on its way out.
 bool serves(const State& v, const Machine& m);
 double spot_loss_rate(const State& v); // of one machine, a second
+// For how long a job's tasks may wait for a place before its aims are in danger.
+double patience_s(const State& v, const Job& j);
+// Serves what may use neither spot machines nor accelerators, besides others.
+inline bool plain(const Machine& m) {
+    return !m.spot && m.whole.gpus <= 0;
+}
 // What waits for room, most urgent first. shape: of what waits most, unchanged if nothing does.
 std::vector<const Job*> waiting_jobs(const State& v, Resources& shape);
 
--- a/include/heronshift/policies/placement.hpp
+++ b/include/heronshift/policies/placement.hpp
@@ -26,6 +26,8 @@
         double cost = 0;
     };
     void choose_pool();
+    [[nodiscard]] bool fits_in(const Machine& m, const Job& j) const; // a task, and it is wise
+    [[nodiscard]] bool left_to_others(const Machine& m, const Job& j) const;
     int place_single(const Job& j, double cap);
     int place_service(const Job& j);
     bool place_gang(const Job& j);
@@ -40,6 +42,7 @@
     const Settings& s_;
     ledger::Proposals& out_;
     std::size_t waiting_ = 0;
+    bool ordinary_waits_ = false; // an array that may not use spot machines
     double next_slow_ = 0;
 };
 
--- a/src/policies/common.cpp
+++ b/src/policies/common.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double tight_loss_s = 100; // what the loss of a task weighs if its job would be late by it
+constexpr double patience_of_aim = 0.5, patience_of_slack = 0.25;
 constexpr double late_start = 15;    // cost of a place where the start is too late for the aim of its class
 
 } // namespace
@@ -73,6 +74,16 @@
     return cost;
 }
 
+double patience_s(const State& v, const Job& j) {
+    double s = 1e18;
+    for (const auto& o : v.settings.objectives)
+        if (o.kind == "wait" && o.job_class == j.spec.job_class) s = std::min(s, o.within_s * patience_of_aim);
+    const double due = v.due_at(j);
+    if (due >= 0)
+        s = std::min(s, (due - j.ready - std::max(1.0, j.spec.estimate_s) * v.learned.bias()) * patience_of_slack);
+    return s < 1e18 ? std::max(s, 0.0) : v.settings.report_s;
+}
+
 std::vector<const Job*> waiting_jobs(const State& v, Resources& shape) {
     // Among equals the job with the least work left goes first, since that brings the most jobs home
     // in time; having waited counts against it, so that large ones get their turn.
--- a/src/policies/placement.cpp
+++ b/src/policies/placement.cpp
@@ -56,6 +56,16 @@
     out_.set_pool(pool, largest);
 }
 
+// On ordinary machines what may use nothing else goes first, whatever its rank, until the others' aims are in
+// danger: with most room on spot machines, those would fill the few ordinary ones as well.
+bool Placement::left_to_others(const Machine& m, const Job& j) const {
+    return ordinary_waits_ && j.spec.spot && plain(m) && v_.now < j.ready + patience_s(v_, j);
+}
+
+bool Placement::fits_in(const Machine& m, const Job& j) const {
+    return j.spec.each.fits(m.whole - m.used) && usable(v_, m, j) && !left_to_others(m, j);
+}
+
 // New tasks go in batches of at most eight, without moves, placing the most, none above the cap.
 int Placement::place_batch(const std::vector<const Job*>& batch, int most, double cap) {
     std::vector<placement::Bin> bins;
@@ -81,7 +91,7 @@
     for (const auto& [id, m] : v_.machines) {
         bool any = false;
         const auto free = m->whole - m->used;
-        for (auto* j : jobs) any = any || (usable(v_, *m, *j) && j->spec.each.fits(free));
+        for (auto* j : jobs) any = any || fits_in(*m, *j);
         if (!any) continue;
         machines.push_back(m.get());
         bins.push_back({free, m->whole});
@@ -91,7 +101,7 @@
         for (auto* m : machines) {
             // The payoff of one more task on the pool counts before everything but the number.
             double cost = -1;
-            if (usable(v_, *m, *jobs[g])) {
+            if (fits_in(*m, *jobs[g])) {
                 cost = placement_cost(v_, *m, *jobs[g]);
                 if (m->pool && jobs[g]->spec.shape == Shape::service) {
                     const placement::Payoff f{s_.ops.alpha, s_.ops.beta, s_.ops.gamma};
@@ -121,7 +131,7 @@
         double best_cost = cap;
         for (const auto& [id, m] : v_.machines) {
             const auto free = m->whole - m->used;
-            if (!j.spec.each.fits(free) || !usable(v_, *m, j)) continue;
+            if (!fits_in(*m, j)) continue;
             double cost = placement_cost(v_, *m, j);
             if (j.spec.spread) cost += j.zone_live[static_cast<std::size_t>(m->zone)];
             cost += placement::fragmentation(free - j.spec.each, m->whole, v_.common_shape);
@@ -174,7 +184,7 @@
 Placement::Room Placement::room_on(const Machine& m, const Job& j, int most, double loss_weight) const {
     Room r;
     r.machine = &m;
-    if (!j.spec.each.fits(m.whole - m.firm) || !usable(v_, m, j)) return r;
+    if (!j.spec.each.fits(m.whole - m.firm) || !usable(v_, m, j) || left_to_others(m, j)) return r;
     if (m.reserved_for != nullptr && m.reserved_for != &j && v_.now < m.reserved_until) return r;
     const auto fits = [&](Resources left) {
         int n = 0;
@@ -298,6 +308,9 @@
     auto shape = v_.common_shape;
     const auto jobs = waiting_jobs(v_, shape);
     waiting_ = jobs.size();
+    ordinary_waits_ = std::any_of(jobs.begin(), jobs.end(), [this](const Job* j) {
+        return j->spec.shape == Shape::array && !j->spec.spot && v_.quota_room(*j) > 0;
+    });
     out_.set_common_shape(shape);
     struct Failed {
         Resources each;
