--- a/src/policies/common.cpp
+++ b/src/policies/common.cpp
@@ -9,7 +9,7 @@
 
 constexpr double tight_loss_s = 100; // what the loss of a task weighs if its job would be late by it
 constexpr double patience_of_aim = 0.5, patience_of_slack = 0.25;
-constexpr double late_start = 15;    // cost of a place where the start is too late for the aim of its class
+constexpr double late_start = 15; // cost of a place where the start is too late for the aim of its class
 
 } // namespace
 
--- a/src/policies/placement.cpp
+++ b/src/policies/placement.cpp
@@ -15,8 +15,9 @@
 constexpr std::uint32_t few_runs = 3;                          // of a job, before they say how long its tasks take
 constexpr double too_long = 1.5;                               // of its longest run
 constexpr double long_if_most_through = 1.2, most_through = 4; // times as many as still run
-constexpr double most_slow = 0.15;                             // of all machines: beyond, it is something else
-constexpr double least_rest = 0.1;                             // of a task's time: it may be longer than others
+constexpr double sure_of_one = 1.5;
+constexpr double most_slow = 0.15;  // of all machines: beyond, it is something else
+constexpr double least_rest = 0.1;  // of a task's time: it may be longer than others
 constexpr double good_place_s = 18; // cost of a place that is good enough not to look further
 
 } // namespace
@@ -236,8 +237,7 @@
     const auto& j = *e.job;
     if (e.stop) return 0;
     if (j.spec.shape != Shape::array) return 1e18;
-    const double whole =
-        j.runs >= few_runs ? j.run_sum / j.runs : std::max(1.0, j.spec.estimate_s) * v_.learned.bias();
+    const double whole = j.runs >= few_runs ? j.run_sum / j.runs : std::max(1.0, j.spec.estimate_s) * v_.learned.bias();
     const double ran = e.running_at >= 0 ? v_.now - e.running_at : 0;
     return std::max(whole - ran, whole * least_rest);
 }
@@ -427,6 +427,7 @@
     next_slow_ = v_.now + s_.report_s / 3;
     for (const auto& [id, m] : v_.machines) {
         if (!serves(v_, *m) || v_.now < m->slow_until) continue;
+        int over = 0;
         for (const auto& e : m->entries) {
             const auto& j = *e->job;
             if (e->phase != Phase::running || e->stop || j.spec.shape != Shape::array) continue;
@@ -437,7 +438,11 @@
             // task of an import was restarted every 35 s for ever, and its pipeline with it.
             const int blamed = e->job->tasks[e->index].blamed;
             const double limit = much * j.longest_run * (1 << (2 * blamed)) + s_.report_s / 3;
-            if (v_.now - e->running_at < limit) continue;
+            const double ran = v_.now - e->running_at;
+            // One task may be longer than its siblings by itself, even the longest of thousands: two are the
+            // machine's doing, or one that goes on and on. From quiet days on which each hour 70 machines were
+            // taken for slow and the last task of a job, nearly through, began anew.
+            if (ran < limit || (++over < 2 && ran < sure_of_one * limit)) continue;
             out_.blame(*e);
             mark_slow(*m);
             break;
