Two stories of long tasks: a little longer is left to run, longer everywhere ends

Change: one alone is the machine's doing at 1.3 times the limit instead of 1.5; a story that fails with the earlier rule, the older one as it was.

--- a/src/policies/placement.cpp
+++ b/src/policies/placement.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t few_runs = 3;                          // of a job, before they say how long its tasks take
 constexpr double too_long = 1.5;                               // of its longest run
 constexpr double long_if_most_through = 1.2, most_through = 4; // times as many as still run
-constexpr double sure_of_one = 1.5;
+constexpr double sure_of_one = 1.3;
 constexpr double most_slow = 0.15;  // of all machines: beyond, it is something else
 constexpr double least_rest = 0.1;  // of a task's time: it may be longer than others
 constexpr double good_place_s = 18; // cost of a place that is good enough not to look further
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -76,9 +76,10 @@
 }
 
 // Restarted elsewhere for ever, the last task of a job never ended, nor did what waited for the job.
-TEST(World, ATaskThatIsLongEverywhereEnds) {
+// How many of ten tasks were begun again, of which the first takes so long and the others 5 s.
+int begun_again(double first_s) {
     World w(5);
-    w.takes = [](std::uint32_t index) { return index == 0 ? 15.0 : 5.0; };
+    w.takes = [first_s](std::uint32_t index) { return index == 0 ? first_s : 5.0; };
     w.settings.teams[0].cpus_max = 400;
     w.capacity = 30;
     w.take_office();
@@ -88,8 +89,15 @@
     w.submit(job(1, Shape::array, 10, 2));
     w.run(60);
     EXPECT_EQ(w.told["wk-000001"], codec::status_done);
-    EXPECT_EQ(w.started, before + 11); // once it was worth a try elsewhere
     EXPECT_EQ(first(w), "");
+    return w.started - before - 10;
+}
+TEST(World, ATaskThatIsLongEverywhereEnds) {
+    EXPECT_EQ(begun_again(15), 1); // once it was worth a try elsewhere
+}
+// Nearly through, the longest of its siblings began anew, and its job was late by that.
+TEST(World, ATaskThatIsALittleLongerIsLeftToRun) {
+    EXPECT_EQ(begun_again(13), 0);
 }
 
 // Crashes of the holder, cuts, hangs, lost and late messages, refused transactions.
