Which task of a job goes next is decided by its number, not by the order of reports

Cause: with room that is waited for, three processes and the library placed different tasks of one job: those that came back waited in the order in which the reports had come (SameProcesses failed, always the same way). Change: tasks that wait are kept in the order of their numbers; ties between tasks that end at the same time go by job and number.

--- a/include/heronshift/ledger/ledger.hpp
+++ b/include/heronshift/ledger/ledger.hpp
@@ -165,7 +165,7 @@
     void use_image(Machine& m, int image, bool ready);
     void want_orders(Machine& m);
     void forget_machine(const std::string& id);
-    void queue_task(Job& j, std::uint32_t index, bool front);
+    void queue_task(Job& j, std::uint32_t index);
     void break_gang(Job& j);
     void stop_entry(Entry& e, double drain_s);
     void dispatch(Machine& m);
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -97,14 +97,14 @@
         join(stored);
 }
 
-void Ledger::queue_task(Job& j, std::uint32_t index, bool front) {
+// In the order of their indices: in which order reports came must not decide which is next. What comes back was
+// placed early, so its place is near the front.
+void Ledger::queue_task(Job& j, std::uint32_t index) {
     auto& t = j.tasks[index];
     if (t.queued || t.done || t.live > 0) return;
     t.queued = true;
-    if (front)
-        j.pending.push_front(index);
-    else
-        j.pending.push_back(index);
+    auto& p = j.pending;
+    p.insert(p.empty() || p.back() < index ? p.end() : std::lower_bound(p.begin(), p.end(), index), index);
 }
 
 void Ledger::cancel(const CancelAsked& c) {
@@ -237,7 +237,7 @@
     --j.zone_live[m.zone < 0 ? st_.settings.zones.size() : static_cast<std::size_t>(m.zone)];
     if (j.team >= 0) st_.teams[static_cast<std::size_t>(j.team)].used -= j.spec.each;
     const bool open = j.final == Final::none && !j.tasks[e.index].done;
-    if (open) queue_task(j, e.index, true);
+    if (open) queue_task(j, e.index);
     // What a stale record named of an earlier attempt says nothing about this one.
     if (j.spec.shape == Shape::gang && open && e.try_no == j.gang_try) break_gang(j);
     if (j.live == 0) {
--- a/src/ledger/needs.cpp
+++ b/src/ledger/needs.cpp
@@ -27,7 +27,7 @@
                      "submission",
                      j.spec.id, j.spec.job_class, j.spec.team, j.spec.tasks, j.spec.each.cpus, j.spec.estimate_s,
                      st_.now - j.submitted));
-    for (std::uint32_t i = 0; i < j.spec.tasks; ++i) queue_task(j, i, false);
+    for (std::uint32_t i = 0; i < j.spec.tasks; ++i) queue_task(j, i);
     offer(j);
     dirty_ = true;
 }
--- a/src/policies/placement.cpp
+++ b/src/policies/placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <tuple>
 
 namespace heronshift::policies {
 namespace {
@@ -258,7 +259,11 @@
         order.clear();
         for (const auto& e : m->entries)
             if (const double rest = rest_of(*e); rest <= within_s) order.emplace_back(rest, e.get());
-        std::sort(order.begin(), order.end());
+        // Neither addresses nor the order in which reports came may decide: processes differ in both.
+        std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+            const auto key = [](const auto& x) { return std::tie(x.first, x.second->job->spec.id, x.second->index); };
+            return key(a) < key(b);
+        });
         auto free = m->whole - m->used;
         const double cost = placement_cost(v_, *m, j);
         for (const auto& [rest, e] : order) {
@@ -267,7 +272,7 @@
         }
     }
     const auto wanted = static_cast<std::size_t>(std::min(static_cast<int>(j.pending.size()), v_.quota_room(j)));
-    std::sort(slots.begin(), slots.end(), [](const Slot& a, const Slot& b) { return a.at < b.at; });
+    std::stable_sort(slots.begin(), slots.end(), [](const Slot& a, const Slot& b) { return a.at < b.at; });
     if (slots.size() > wanted) slots.resize(wanted);
     std::map<const Machine*, int> tasks;
     for (const auto& s : slots) ++tasks[s.machine];
