Ordinary machines are for what may use nothing else, as long as it waits

Cause: at the start rencana-dek (rank high) filled the ordinary machines for half a minute as they came up; jobs of hitung-muatan within their team's guarantee began at 90 to 115 s. (The users count waits from 80 s on.) Change: no patience any more that ends this: what may use spot has those machines.

--- a/src/policies/placement.cpp
+++ b/src/policies/placement.cpp
@@ -62,7 +62,7 @@
 // On ordinary machines what may use nothing else goes first, whatever its rank, until the others' aims are in
 // danger: with most room on spot machines, those would fill the few ordinary ones as well.
 bool Placement::left_to_others(const Machine& m, const Job& j) const {
-    return ordinary_waits_ && j.spec.spot && plain(m) && v_.now < j.ready + patience_s(v_, j);
+    return ordinary_waits_ && j.spec.spot && plain(m);
 }
 
 bool Placement::fits_in(const Machine& m, const Job& j) const {
