Every job begins within a time that operators set; small work first, large work by age

Change: least work first; one task of each array that has waited for half of begin-s (240 s by default) goes before all others, with room and the team's limit kept for it; who waits for twice as long goes first in its rank. That a smaller task found no place says nothing of one that may use ordinary machines only.

--- a/include/heronshift/config.hpp
+++ b/include/heronshift/config.hpp
@@ -36,6 +36,7 @@
     int batch = 8;
     double headroom = 0.25; // of what services use, on the pool beyond it
     double empty_s = 0;     // 0: a ratio of the type's boot time
+    double begin_s = 240;   // by then each job should have begun, however large, if limits and machines allow it
 };
 
 struct Settings {
--- a/include/heronshift/ledger/ledger.hpp
+++ b/include/heronshift/ledger/ledger.hpp
@@ -67,7 +67,7 @@
     void preempt(const Entry& e) override;
     void move_away(const Entry& e, double drain_s) override;
     void gang_whole(const Job& j) override;
-    void reserve(const Machine& m, const Job& j, int tasks, double until) override;
+    void reserve(const Machine& m, const Job& j, int tasks, double until, Rank against) override;
     void room_asked(const Job& j, double until) override;
     void good_room(const Job& j, bool being_made) override;
     void set_pool(const std::vector<const Machine*>& pool, const Resources& service_shape) override;
--- a/include/heronshift/ledger/proposals.hpp
+++ b/include/heronshift/ledger/proposals.hpp
@@ -17,8 +17,8 @@
     virtual void stop(const Entry& e, double drain_s) = 0;
     virtual void preempt(const Entry& e) = 0;
     virtual void move_away(const Entry& e, double drain_s) = 0;
-    // Room on a machine is kept for a job, or was looked for, until then.
-    virtual void reserve(const Machine& m, const Job& j, int tasks, double until) = 0;
+    // Room on a machine is kept for a job, against others of this rank and below, or was looked for, until then.
+    virtual void reserve(const Machine& m, const Job& j, int tasks, double until, Rank against) = 0;
     virtual void room_asked(const Job& j, double until) = 0;
     virtual void good_room(const Job& j, bool being_made) = 0;
     virtual void gang_whole(const Job& j) = 0;
--- a/include/heronshift/policies/placement.hpp
+++ b/include/heronshift/policies/placement.hpp
@@ -35,7 +35,9 @@
     [[nodiscard]] Room room_on(const Machine& m, const Job& j, int most, double loss_weight) const;
     void take_room(const Room& r, const Job& j);
     int make_room(const Job& j, double cap);
-    void await_room(const Job& j, double within_s);
+    void await_room(const Job& j, int most, double within_s, Rank against);
+    void begin_waiting(const std::vector<const Job*>& jobs);
+    [[nodiscard]] int quota_left(const Job& j) const;
     [[nodiscard]] double rest_of(const Entry& e) const;
     [[nodiscard]] double loss_of(const Entry& e) const;
     void mark_slow(const Machine& m);
@@ -44,7 +46,8 @@
     const Settings& s_;
     ledger::Proposals& out_;
     std::size_t waiting_ = 0;
-    bool ordinary_waits_ = false; // an array that may not use spot machines
+    std::vector<const Job*> first_of_team_; // whose limit is left to this one until it has begun; by team
+    bool ordinary_waits_ = false;           // an array that may not use spot machines
     double next_slow_ = 0;
 };
 
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -97,6 +97,7 @@
     {.name = "batch", .count = &OperatorSettings::batch, .least = 1},
     {.name = "headroom", .number = &OperatorSettings::headroom},
     {.name = "empty-s", .number = &OperatorSettings::empty_s},
+    {.name = "begin-s", .number = &OperatorSettings::begin_s},
 };
 
 std::string slurp(const std::string& path) {
@@ -194,6 +195,7 @@
     need(o.target_share <= 1, "target-share", "must be at most 1");
     need(o.round_s >= report_s, "round-s", "must be at least report_s");
     need(o.batch <= 8, "batch", "must be at most 8");
+    need(o.begin_s >= 10 * report_s && o.begin_s <= 86'400, "begin-s", "must be from ten times report_s to a day");
     return o;
 }
 
--- a/src/ledger/proposals.cpp
+++ b/src/ledger/proposals.cpp
@@ -62,10 +62,10 @@
     own(j).gang_breaking = false;
 }
 
-void Ledger::reserve(const Machine& machine, const Job& j, int tasks, double until) {
+void Ledger::reserve(const Machine& machine, const Job& j, int tasks, double until, Rank against) {
     auto& m = own(machine);
     m.reserved_for = &j;
-    m.reserved_rank = j.rank;
+    m.reserved_rank = against;
     m.reserved_until = until;
     m.reserved_tasks = tasks;
 }
--- a/src/policies/common.cpp
+++ b/src/policies/common.cpp
@@ -9,6 +9,7 @@
 
 constexpr double tight_loss_s = 100; // what the loss of a task weighs if its job would be late by it
 constexpr double patience_of_aim = 0.5, patience_of_slack = 0.25;
+constexpr double aged_begins = 2; // times in which a job should begin: who still waits then goes by age
 constexpr double late_start = 15; // cost of a place where the start is too late for the aim of its class
 
 } // namespace
@@ -85,8 +86,9 @@
 }
 
 std::vector<const Job*> waiting_jobs(const State& v, Resources& shape) {
-    // Among equals the job with the least work left goes first, since that brings the most jobs home
-    // in time; having waited counts against it, so that large ones get their turn.
+    // Among equals the job with the least work left goes first, since that brings the most jobs home in time.
+    // Large ones begin in time all the same (Placement::begin_waiting), and whoever has waited twice as long as
+    // that goes first, the oldest before all.
     struct Waiting {
         const Job* job;
         double key;
@@ -95,7 +97,9 @@
     double most = 0;
     for (const auto& [id, j] : v.jobs) {
         if (j->final != Final::none || j->pending.empty() || v.now < j->not_before) continue;
-        list.push_back({j.get(), v.work_left(*j) / (std::max(1.0, j->spec.estimate_s) + v.now - j->ready)});
+        const double waited = v.now - j->ready;
+        const bool aged = waited > aged_begins * v.settings.ops.begin_s;
+        list.push_back({j.get(), aged ? -waited : v.work_left(*j)});
         const double weight = static_cast<double>(j->pending.size());
         if (weight > most) {
             most = weight;
--- a/src/policies/placement.cpp
+++ b/src/policies/placement.cpp
@@ -18,6 +18,7 @@
 constexpr double long_if_most_through = 1.2, most_through = 4; // times as many as still run
 constexpr double sure_of_one = 1.3;
 constexpr double most_slow = 0.15;  // of all machines: beyond, it is something else
+constexpr double begin_share = 0.5; // of the time in which each job should begin
 constexpr double least_rest = 0.1;  // of a task's time: it may be longer than others
 constexpr double good_place_s = 18; // cost of a place that is good enough not to look further
 
@@ -69,6 +70,39 @@
     return j.spec.each.fits(m.whole - m.used) && usable(v_, m, j) && !left_to_others(m, j);
 }
 
+// How many more tasks the team's limit allows, unless it is kept for another of its jobs.
+int Placement::quota_left(const Job& j) const {
+    if (j.team < 0) return 0;
+    const auto* first = first_of_team_[static_cast<std::size_t>(j.team)];
+    return first != nullptr && first != &j ? 0 : v_.quota_room(j);
+}
+
+// Small work goes first, so that most jobs are home in time; a large one might wait for ever. From a day on which
+// the largest array, as big as its team's whole limit, began after 396 s. One task of each that has waited for half
+// the time goes before all others; where there is no room or the team's limit is used up, both are kept for it.
+void Placement::begin_waiting(const std::vector<const Job*>& jobs) {
+    first_of_team_.assign(v_.teams.size(), nullptr);
+    std::vector<const Job*> late;
+    for (const auto* j : jobs)
+        if (j->spec.shape == Shape::array && j->live == 0 && j->done == 0 && j->team >= 0 &&
+            v_.now - j->ready > begin_share * s_.ops.begin_s)
+            late.push_back(j);
+    std::sort(late.begin(), late.end(), [](const Job* a, const Job* b) {
+        return std::tie(a->ready, a->spec.id) < std::tie(b->ready, b->spec.id);
+    });
+    for (const auto* j : late) {
+        auto& first = first_of_team_[static_cast<std::size_t>(j->team)];
+        if (first != nullptr) continue;
+        if (v_.quota_room(*j) < 1) {
+            first = j;
+            continue;
+        }
+        if (place_batch({j}, 1, 1e18) > 0 || v_.now < j->room_until) continue;
+        out_.room_asked(*j, v_.now + s_.report_s / 2);
+        await_room(*j, 1, 1e18, Rank::critical);
+    }
+}
+
 // New tasks go in batches of at most eight, without moves, placing the most, none above the cap.
 int Placement::place_batch(const std::vector<const Job*>& batch, int most, double cap) {
     std::vector<placement::Bin> bins;
@@ -81,7 +115,7 @@
         out_.drop_settled(*j, true);
         // Of one team only the first may use up its limit.
         if (team_left.contains(j->team)) continue;
-        const int n = std::min({left, static_cast<int>(j->pending.size()), v_.quota_room(*j)});
+        const int n = std::min({left, static_cast<int>(j->pending.size()), quota_left(*j)});
         if (n <= 0) continue;
         const auto& l = v_.teams[static_cast<std::size_t>(j->team)].limits;
         if (l.cpus_max > 0 || l.gpus_max > 0) team_left[j->team] = 0;
@@ -127,7 +161,7 @@
 // Jobs with zone rules: task by task, since each placement changes where the next may go.
 int Placement::place_single(const Job& j, double cap) {
     int placed = 0;
-    while (!j.pending.empty() && v_.quota_room(j) > 0) {
+    while (!j.pending.empty() && quota_left(j) > 0) {
         out_.drop_settled(j, false);
         if (j.pending.empty()) break;
         const Machine* best = nullptr;
@@ -160,7 +194,7 @@
         return placed;
     };
     int placed = place(good_place_s);
-    if (j.pending.empty() || v_.quota_room(j) <= 0) return placed;
+    if (j.pending.empty() || quota_left(j) <= 0) return placed;
     if (v_.now < j.room_until && j.good_room) return placed; // being made
     double free_cost = 1e18;
     for (const auto& [id, m] : v_.machines)
@@ -230,7 +264,7 @@
     if (!r.victims.empty())
         out_.note(0,
                   fmt::format("job {} takes the place of {} tasks on {}", j.spec.id, r.victims.size(), r.machine->id));
-    out_.reserve(*r.machine, j, r.tasks, v_.now + s_.report_s);
+    out_.reserve(*r.machine, j, r.tasks, v_.now + s_.report_s, j.rank);
 }
 
 // How long a task will go on, as far as its siblings tell.
@@ -246,7 +280,7 @@
 // Where tasks end all the time, room comes by itself: the machines where it comes first are kept for the job,
 // or smaller tasks would fill each hole before it is large enough. Stopping work costs what it has done: on
 // the ferries' days half of the largest arrays' tasks were begun twice, a fifth of all.
-void Placement::await_room(const Job& j, double within_s) {
+void Placement::await_room(const Job& j, int most, double within_s, Rank against) {
     struct Slot {
         double at;
         const Machine* machine;
@@ -271,18 +305,18 @@
             for (; j.spec.each.fits(free); free -= j.spec.each) slots.push_back({rest + cost, m.get()});
         }
     }
-    const auto wanted = static_cast<std::size_t>(std::min(static_cast<int>(j.pending.size()), v_.quota_room(j)));
+    const auto wanted = static_cast<std::size_t>(std::min({most, static_cast<int>(j.pending.size()), quota_left(j)}));
     std::stable_sort(slots.begin(), slots.end(), [](const Slot& a, const Slot& b) { return a.at < b.at; });
     if (slots.size() > wanted) slots.resize(wanted);
     std::map<const Machine*, int> tasks;
     for (const auto& s : slots) ++tasks[s.machine];
-    for (const auto& [m, n] : tasks) out_.reserve(*m, j, n, v_.now + s_.report_s);
+    for (const auto& [m, n] : tasks) out_.reserve(*m, j, n, v_.now + s_.report_s, against);
 }
 
 // Stops work of lower rank where that costs least, below the given cost a task. Returns for how
 // many tasks there will be room.
 int Placement::make_room(const Job& j, double cap) {
-    int left = std::min(static_cast<int>(j.pending.size()), v_.quota_room(j)), made = 0;
+    int left = std::min(static_cast<int>(j.pending.size()), quota_left(j)), made = 0;
     std::vector<Room> rooms;
     for (const auto& [id, m] : v_.machines)
         if (auto r = room_on(*m, j, left, replica_loss_weight); r.tasks > 0 && !r.victims.empty() && r.cost < cap)
@@ -306,7 +340,7 @@
 // keep it from others.
 bool Placement::place_gang(const Job& j) {
     const int tasks = static_cast<int>(j.spec.tasks);
-    if (j.live > 0 || v_.now < j.room_until || v_.quota_room(j) < tasks) return false;
+    if (j.live > 0 || v_.now < j.room_until || quota_left(j) < tasks) return false;
     out_.room_asked(j, v_.now + s_.report_s / 10); // looking at all machines takes time
     std::vector<Room> best;
     double best_cost = 1e18;
@@ -357,8 +391,9 @@
     auto shape = v_.common_shape;
     const auto jobs = waiting_jobs(v_, shape);
     waiting_ = jobs.size();
+    begin_waiting(jobs);
     ordinary_waits_ = std::any_of(jobs.begin(), jobs.end(), [this](const Job* j) {
-        return j->spec.shape == Shape::array && !j->spec.spot && v_.quota_room(*j) > 0;
+        return j->spec.shape == Shape::array && !j->spec.spot && quota_left(*j) > 0;
     });
     out_.set_common_shape(shape);
     struct Failed {
@@ -371,10 +406,13 @@
         auto& j = *jobs[k];
         const bool plain = j.spec.types.empty() && j.spec.zone.empty() && !j.spec.spread && !j.spec.one_zone;
         // If a smaller task found no place, a larger one won't.
-        const bool hopeless =
-            std::any_of(failed.begin(), failed.end(),
-                        [&](const Failed& f) { return f.each.fits(j.spec.each) && (f.spot || !j.spec.spot); }) &&
-            j.rank > Rank::high; // room may have been made for those
+        const bool hopeless = std::any_of(failed.begin(), failed.end(),
+                                          [&](const Failed& f) {
+                                              const bool no_less =
+                                                  f.spot ? j.spec.spot || !ordinary_waits_ : !j.spec.spot;
+                                              return f.each.fits(j.spec.each) && no_less;
+                                          }) &&
+                              j.rank > Rank::high; // room may have been made for those
         if (!hopeless) {
             if (j.spec.shape == Shape::gang) {
                 if (place_gang(j)) budget -= static_cast<int>(j.spec.tasks);
@@ -397,12 +435,12 @@
         }
         if (j.pending.empty() || j.live == j.spec.tasks) continue;
         if (budget <= 0) break;
-        if (plain && j.spec.shape != Shape::gang && v_.quota_room(j) > 0) failed.push_back({j.spec.each, j.spec.spot});
+        if (plain && j.spec.shape != Shape::gang && quota_left(j) > 0) failed.push_back({j.spec.each, j.spec.spot});
         if (j.spec.shape != Shape::gang && j.rank <= Rank::high && v_.now >= j.room_until) {
             out_.room_asked(j, v_.now + s_.report_s / 2);
             const double left = j.ready + patience_s(v_, j) - v_.now;
             if (left > 0)
-                await_room(j, left);
+                await_room(j, static_cast<int>(j.spec.tasks), left, j.rank);
             else
                 make_room(j, 1e18);
         }
--- a/src/replay/command_log.cpp
+++ b/src/replay/command_log.cpp
@@ -47,7 +47,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Peer, name, zone, addr)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Objective, kind, job_class, within_s, share, times)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OperatorSettings, alpha, beta, gamma, target_share, pull_back_cap, reorder_cap,
-                                   round_s, batch, headroom, empty_s)
+                                   round_s, batch, headroom, empty_s, begin_s)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Settings, name, zone, listen, peer_listen, peers, cloud, state, zones, time_bound_s,
                                    teams, objectives, report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s, state_rps,
                                    state_write_rps, value_kb, txn_ops, cloud_rps, list_lag_s, cores, memory_mb,
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -255,8 +255,7 @@
             fleet.node_request<bool>(
                 i, cloud, timeout_s,
                 [f = &fleet, ask](const Answer<bool>& answer) {
-                    for (const auto& m : ask.machines)
-                        if (f->workers.erase(m) > 0) ++f->capacity;
+                    for (const auto& m : ask.machines) f->give_back(m);
                     answer(true);
                 },
                 [done = std::move(done), list = ask.machines](std::optional<bool> ok, bool) {
@@ -414,7 +413,7 @@
     Rented rent(const Rent& r) {
         if (const auto it = rentals.find(r.claim); it != rentals.end()) return it->second;
         Rented out{r.claim, RentOutcome::no_capacity, {}};
-        for (int k = 0; k < r.count && capacity > 0; ++k, --capacity) {
+        for (int k = 0; k < r.count && rent_one(r.spot); ++k) {
             out.outcome = RentOutcome::rented;
             Worker w;
             w.id = w.addr = fmt::format("n-{:04}", ++machines);
--- /dev/null
+++ b/tests/test_crowded.cpp
@@ -0,0 +1,129 @@
+// A fleet that is too small for what is asked of it: who goes first, who waits, and for how long.
+#include "world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift::testing {
+namespace {
+
+struct Crowd : World {
+    Crowd(unsigned seed, int spot_machines, int ordinary_machines) : World(seed) {
+        settings.teams = {{"red", 400, 400, 0, 0}, {"blue", 400, 400, 0, 0}};
+        settings.ops.begin_s = 60;
+        capacity = spot_machines;
+        ordinary = ordinary_machines;
+        takes = [](std::uint32_t index) { return 4.0 + index % 5; };
+    }
+    int n = 0;
+    std::string ask(Shape shape, std::uint32_t tasks, double cpus, const std::function<void(JobSpec&)>& more = {}) {
+        auto j = job(++n, shape, tasks, cpus);
+        if (more) more(j);
+        submit(j);
+        return j.id;
+    }
+    // Small jobs all the time, as many as keep every CPU busy.
+    void keep_busy(double seconds, double every_s, double cpus = 2, const std::function<void(JobSpec&)>& more = {}) {
+        double next = now;
+        for (const double end = now + seconds; now < end && broken.empty(); step()) {
+            if (now < next) continue;
+            next += every_s;
+            ask(Shape::array, 4, cpus, more);
+        }
+    }
+    // Seconds from its submission until a task of it ran; below zero: none has.
+    std::map<std::string, double> began;
+    int run_controllers() override {
+        for (const auto& [id, w] : workers)
+            for (const auto& t : w.tasks)
+                if (t.state == TaskState::running) began.emplace(t.job, now - submitted[t.job]);
+        return World::run_controllers();
+    }
+    double began_after(const std::string& id) const {
+        const auto it = began.find(id);
+        return it == began.end() ? -1 : it->second;
+    }
+    std::uint64_t stopped() const { // for others
+        return counted("heronshift_preempted_total");
+    }
+    std::uint64_t counted(const std::string& name) const {
+        for (const auto& v : core->metrics())
+            if (v.name == name) return static_cast<std::uint64_t>(v.value);
+        return 0;
+    }
+};
+
+// Of a large array among small work of its team that comes all the time: when its first task ran.
+double large_begins(double limit, int machines, double every_s) {
+    Crowd c(3, machines, 0);
+    c.settings.teams[0].cpus_max = limit;
+    c.take_office();
+    const auto single = [](JobSpec& j) { j.tasks = 1; };
+    c.keep_busy(20, every_s, 2, single);
+    const auto large = c.ask(Shape::array, 3, 8);
+    c.keep_busy(40, every_s, 2, single);
+    c.take_office(); // its age survives: it goes by the submission
+    c.keep_busy(30, every_s, 2, single);
+    EXPECT_TRUE(c.broken.empty()) << c.broken.front();
+    EXPECT_GT(c.started, 100);
+    return c.began_after(large);
+}
+
+// From a day on which the largest array, as big as its team's whole limit, began after 396 s: smaller work of its
+// team came all the time, and a hole in the limit was never large enough for one of its tasks.
+TEST(Crowded, TheLargestBeginsThoughItsTeamsLimitIsUsedUp) {
+    const double s = large_begins(24, 8, 0.45);
+    EXPECT_GE(s, 0);
+    EXPECT_LT(s, 60);
+}
+
+// The same where a task of it takes a whole machine, of which small tasks always fill a part.
+TEST(Crowded, TheLargestBeginsThoughNoMachineIsEverEmpty) {
+    const double s = large_begins(400, 3, 0.5);
+    EXPECT_GE(s, 0);
+    EXPECT_LT(s, 60);
+}
+
+// Spot room to spare, but ordinary machines few and full of what might run elsewhere.
+TEST(Crowded, WorkThatMayNotUseSpotGetsTheOrdinaryMachines) {
+    Crowd c(5, 10, 2);
+    c.take_office();
+    const auto high = [](JobSpec& j) { j.rank = Rank::high; };
+    c.keep_busy(40, 0.25, 2, high);
+    std::vector<std::string> list;
+    for (int k = 0; k < 8; ++k) {
+        list.push_back(c.ask(Shape::array, 4, 2, [](JobSpec& j) { j.spot = false; }));
+        c.keep_busy(8, 0.25, 2, high);
+    }
+    EXPECT_TRUE(c.broken.empty()) << c.broken.front();
+    for (const auto& id : list) {
+        EXPECT_GE(c.began_after(id), 0) << id;
+        EXPECT_LT(c.began_after(id), 15) << id;
+    }
+}
+
+// Tasks of 4 CPUs and high rank among such of 2: room comes by itself every second.
+TEST(Crowded, RoomIsWaitedForWhereTasksEndAllTheTime) {
+    Crowd c(7, 12, 0);
+    c.settings.objectives = {{"wait", "urgent", 12, 0.9, 0}};
+    c.take_office();
+    const auto small = [&] { c.keep_busy(6, 0.3); };
+    for (int k = 0; k < 8; ++k) small();
+    const auto before = c.stopped();
+    std::vector<std::string> list;
+    for (int k = 0; k < 10; ++k) {
+        list.push_back(c.ask(Shape::array, 4, 4, [](JobSpec& j) {
+            j.rank = Rank::high;
+            j.job_class = "urgent";
+        }));
+        small();
+    }
+    EXPECT_TRUE(c.broken.empty()) << c.broken.front();
+    for (const auto& id : list) {
+        EXPECT_GE(c.began_after(id), 0) << id;
+        EXPECT_LT(c.began_after(id), 12) << id;
+    }
+    EXPECT_LE(c.stopped() - before, 4U);
+}
+
+} // namespace
+} // namespace heronshift::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -111,7 +111,9 @@
     std::map<std::uint64_t, std::function<void(int, std::uint64_t, std::vector<Order>)>> beats;
     std::map<std::uint64_t, std::string> cancels;
     std::uint64_t handles = 0;
-    int capacity = 6, machines = 0, started = 0, steps = 0;
+    int capacity = 6;            // machines left to rent
+    std::optional<int> ordinary; // if set, capacity is of spot machines only
+    int machines = 0, started = 0, steps = 0;
     std::vector<std::string> broken;
     std::set<std::string> claims;
     std::function<void(const std::vector<codec::Write>&)> on_commit;
@@ -166,6 +168,22 @@
         c.queue.push_back(list());
     }
 
+    bool rent_one(bool spot) {
+        auto& left = kind(spot);
+        if (left <= 0) return false;
+        --left;
+        return true;
+    }
+    int& kind(bool spot) {
+        return !spot && ordinary ? *ordinary : capacity;
+    }
+    void give_back(const std::string& id) {
+        const auto it = workers.find(id);
+        if (it == workers.end()) return;
+        ++kind(it->second.spot);
+        workers.erase(it);
+    }
+
     Listed list() const {
         Listed l;
         for (const auto& [id, w] : workers)
@@ -399,7 +417,7 @@
         } else if (const auto* r = std::get_if<Rent>(&effect)) {
             if (!claims.insert(r->claim).second) broken.push_back("claim reused " + r->claim);
             Rented out{r->claim, RentOutcome::no_capacity, {}};
-            for (int i = 0; i < r->count && capacity > 0; ++i, --capacity) {
+            for (int i = 0; i < r->count && rent_one(r->spot); ++i) {
                 out.outcome = RentOutcome::rented;
                 const auto id = fmt::format("n-{:04}", ++machines);
                 out.machines.push_back(id);
@@ -416,8 +434,7 @@
             send(0.2, [tell, out] { tell(out); });
         } else if (const auto* r = std::get_if<Release>(&effect)) {
             send(0.2, [this, tell, list = r->machines] {
-                for (const auto& m : list)
-                    if (workers.erase(m) > 0) ++capacity;
+                for (const auto& m : list) give_back(m);
                 tell(Released{list, true});
             });
         } else if (const auto* f = std::get_if<FindJob>(&effect)) {
