--- a/include/heronshift/ledger/ledger.hpp
+++ b/include/heronshift/ledger/ledger.hpp
@@ -116,6 +116,9 @@
     void step_down() {
         stepped_down_ = true;
     }
+    void store_is_late() {
+        st_.unserved_at = st_.now;
+    }
     void settled() { // placement has seen what changed
         dirty_ = false;
     }
--- a/include/heronshift/ledger/state.hpp
+++ b/include/heronshift/ledger/state.hpp
@@ -151,6 +151,7 @@
 struct Learned {
     double offered = 0, offered_at = 0;         // work that arrays bring, in CPUs, averaged
     double offered_ordinary = 0;                // of that: may not use spot machines
+    double gap_s = 0, gaps = 0;                 // between arrays, averaged over so many; this holder's own
     double spot_losses = 0, spot_losses_at = 0; // of machines, averaged
     double ran_s = 1, estimated_s = 1;          // of tasks done lately
     [[nodiscard]] double bias() const {
@@ -163,6 +164,7 @@
     const Settings& settings;
     std::uint64_t term = 0;
     double now = 0, wall = 0, started = 0;
+    double unserved_at = -1e18; // when the store last was late or refused: then jobs may come and not be stored
     std::vector<MachineType> types;
     std::vector<Team> teams;
     std::unordered_map<std::string, Deep<std::unique_ptr<Job>>> jobs;
--- a/include/heronshift/records/records.hpp
+++ b/include/heronshift/records/records.hpp
@@ -36,6 +36,9 @@
     [[nodiscard]] bool waiting() const { // for the budget
         return !txn_open_ && (!finals_.empty() || !taken_along_.empty() || !readies_.empty() || !unrecorded_.empty());
     }
+    [[nodiscard]] bool late(double after_s) const { // the store's answer
+        return txn_open_ && l_.view().now - sent_at_ > after_s;
+    }
     [[nodiscard]] std::uint64_t committed_count() const {
         return committed_;
     }
@@ -73,6 +76,7 @@
     std::vector<Effect>& out_;
     // The transaction being built and the one in flight.
     bool txn_open_ = false;
+    double sent_at_ = 0; // the one in flight
     double write_tokens_ = 0, tokens_at_ = 0;
     std::deque<Job*> finals_, readies_;
     std::deque<Job*> taken_along_;         // by a cancellation, maybe hundreds: after all other final states
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -79,6 +79,7 @@
     }
     ledger_.find_needs();
     records_.collect_commit();
+    if (records_.late(s_.report_s / 3)) ledger_.store_is_late();
     ledger_.send_due_orders();
     wake_at_ = next_tick_;
     if (records_.waiting()) wake_at_ = std::min(wake_at_, now + 1 / s_.state_write_rps); // as the budget allows
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -10,6 +10,7 @@
 // Steady clocks drift apart by up to 0.05%; twice that, and some for timer steps.
 constexpr double drift = 1.001;
 constexpr double lapse_margin_reports = 0.05; // of report_s
+constexpr double most_gaps = 50;              // between arrays that come, averaged
 constexpr std::size_t most_orders = 200;      // to a machine at once
 
 } // namespace
@@ -405,7 +406,10 @@
     if (m.status != Status::up) {
         m.last_seen = std::max(m.last_seen, st_.now); // it may report to nobody yet
         m.status = Status::up;
-        if (m.up_since < 0) m.up_since = st_.now;
+        if (m.up_since < 0) {
+            m.up_since = st_.now;
+            note(0, fmt::format("machine {} is up, {:.0f} s after it was asked for", m.id, st_.now - m.known_since));
+        }
         if (m.entries.empty()) m.empty_since = st_.now;
         dirty_ = true;
     }
@@ -742,6 +746,10 @@
     const double over = st_.average_s();
     const double left = std::exp(-(st_.now - l.offered_at) / over);
     const double more = st_.work_left(j) / over * std::exp(-std::max(0.0, st_.now - j.ready) / over);
+    if (st_.now - j.ready < st_.settings.report_s) { // not one read at a takeover
+        l.gaps = std::min(l.gaps + 1, most_gaps);
+        l.gap_s += (st_.now - l.offered_at - l.gap_s) / l.gaps;
+    }
     l.offered = l.offered * left + more;
     l.offered_ordinary = l.offered_ordinary * left + (j.spec.spot ? 0 : more);
     l.offered_at = st_.now;
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -592,6 +592,7 @@
     draft_learned(d);
     if (d.commit.writes.empty()) return;
     txn_open_ = true;
+    sent_at_ = l_.st_.now;
     write_tokens_ -= static_cast<double>(d.commit.writes.size()) + 1;
     out_.push_back(std::move(d.commit));
 }
