Reports that waited for a new holder go on as fresh ones do; a change of holder is told at once

Of 21112 (the old holder reaches workers only, three controllers the store only): its reports waited for the new holder, which says that it reaches no zone, and were then sent to it all the same; past three deaf controllers at 5 s each the machines came back 22 s later, when their leases had run out. It took 2 s to hear of the new holder, too. Of 11333: the world listed each machine as 100 s old, so all were given back at once. Change: a report that waited is passed on whole to a holder that does not reach its zone, within the 4 s its machine waits; who begins or ends to act tells the others at once; the world lists machines by their true age.

--- a/include/heronshift/agents/desk.hpp
+++ b/include/heronshift/agents/desk.hpp
@@ -45,19 +45,24 @@
     void send(const SendOrders& o, std::function<void(OrdersAnswered&&)> done);
 
 private:
+    struct Whole { // a report as it came, so that it can be passed on
+        std::string body;
+        Responder res;
+    };
     struct Early { // a report that came while the office changed hands
         Report report;
         bool relayed = false;
         Executor::ReportDone done;
         double since = 0;
-        std::string refused_by; // a holder that did not take it
+        std::optional<Whole> whole; // none: it may not be passed on, or was already
+        std::string refused_by;     // a holder that did not take it
     };
     void take(Early&& e);
     void report(Report&& r, Executor::ReportDone done);
     [[nodiscard]] ReportAnswer elsewhere() const; // what a report is told that this node must not take
     enum class Way : std::uint8_t { holder, relay, next };
     [[nodiscard]] Way way_of(const Report& r);
-    void relay(Report&& r, std::string body, const Responder& res);
+    void relay(Report&& r, Whole&& whole, double since);
     void send_by(const std::string& peer, const SendOrders& o, std::function<void(OrdersAnswered&&)> done);
     void note_launches(const std::vector<Order>& orders);
 
--- a/include/heronshift/membership/membership.hpp
+++ b/include/heronshift/membership/membership.hpp
@@ -152,6 +152,7 @@
     std::map<std::string, Other> others_;
     double next_exchange_ = 0, next_probe_ = 0, next_silence_ = 0, next_cloud_ = 0;
     bool asking_store_ = false, urgent_ = false;
+    bool acted_ = false;   // when the others were last told
     std::size_t turn_ = 0; // among those that could relay
     std::uint64_t exchanges_ = 0, probes_ = 0, changes_ = 0;
 };
--- a/src/agents/desk.cpp
+++ b/src/agents/desk.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t most_remembered = 4096;      // machines that were sent to the holder
 constexpr std::size_t most_early = 1000;           // reports that wait while the office changes hands,
 constexpr double early_s = worker_waits_s * 3 / 4; // and for how long since they came
+constexpr double relayed_until_s = worker_waits_s * 3 / 4, answered_by_s = worker_waits_s * 7 / 8; // since they came
 constexpr std::string_view peer_relay = "/peer/relay?to=";
 
 } // namespace
@@ -23,7 +24,7 @@
       most_relays_(static_cast<std::size_t>(s.fd_limit) / 20) {
     executor_.reports_to([this](Report&& r, Executor::ReportDone done) {
         if (!host_.acts()) return done(elsewhere());
-        take({std::move(r), false, std::move(done), later_.now(), ""});
+        take({std::move(r), false, std::move(done), later_.now(), std::nullopt, ""});
     });
 }
 
@@ -55,10 +56,12 @@
     const auto other = elsewhere();
     if (!relayed && !host_.acts() && other.status == 421) {
         const auto way = way_of(*read);
-        if (way == Way::relay) return relay(std::move(*read), std::move(r.body), res);
+        if (way == Way::relay) return relay(std::move(*read), {std::move(r.body), res}, later_.now());
         return answer_to(res)(way == Way::holder ? other : ReportAnswer{});
     }
-    take({std::move(*read), relayed, answer_to(res), later_.now(), ""});
+    std::optional<Whole> whole;
+    if (!relayed) whole = Whole{std::move(r.body), res};
+    take({std::move(*read), relayed, answer_to(res), later_.now(), std::move(whole), ""});
 }
 
 // While the office passes from one to another, a report waits for a moment: sent away, its machine might
@@ -77,6 +80,8 @@
     report(std::move(e.report), std::move(e.done));
 }
 
+// (Sent to a new holder that their zone does not reach, machines came back past all others that do not reach it
+// either, when their lease had run out.)
 void Desk::settle_early() {
     if (early_.empty()) return;
     const bool late_too = !host_.acts() && !host_.taking();
@@ -85,6 +90,8 @@
         const bool elsewhere_now = late_too && other.status == 421 && other.holder != e.refused_by;
         if (host_.acts())
             take(std::move(e));
+        else if (elsewhere_now && e.whole && later_.now() - e.since < relayed_until_s && way_of(e.report) == Way::relay)
+            relay(std::move(e.report), std::move(*e.whole), e.since);
         else if (elsewhere_now || later_.now() - e.since > early_s)
             e.done(other);
         else
@@ -123,7 +130,8 @@
     return Way::holder;
 }
 
-void Desk::relay(Report&& r, std::string body, const Responder& res) {
+void Desk::relay(Report&& r, Whole&& whole, double since) {
+    const auto res = whole.res;
     if (relaying_ >= most_relays_) {
         ++took_.refused;
         return res.send(503, "{}");
@@ -131,14 +139,14 @@
     ++relaying_;
     ++took_.relayed;
     auto kept = std::make_shared<Report>(std::move(r));
-    const double since = later_.now();
-    peers_.request(Lane::relays, host_.holder(), "POST", peer_prefix + std::string(codec::path_report), std::move(body),
-                   relay_s, [this, kept, res, since, holder = host_.holder()](HttpReply&& a) {
+    const double wait_s = std::min(relay_s, answered_by_s - (later_.now() - since));
+    peers_.request(Lane::relays, host_.holder(), "POST", peer_prefix + std::string(codec::path_report),
+                   std::move(whole.body), wait_s, [this, kept, res, since, holder = host_.holder()](HttpReply&& a) {
                        --relaying_;
                        // Whatever the holder said, and nothing that it did not say. Where it has just given
                        // the office up, the machine is told who has it next.
                        if (a.status == 200 || a.status == 421) return res.send(a.status, a.body);
-                       take({std::move(*kept), false, answer_to(res), since, holder});
+                       take({std::move(*kept), false, answer_to(res), since, std::nullopt, holder});
                    });
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -134,6 +134,11 @@
         next_probe_ = t + probe_reports * s_.report_s;
         probe();
     }
+    // Those that the store does not serve learn only from this who holds the office now.
+    if (const bool acts = host_.acts(); acts != acted_) {
+        acted_ = acts;
+        urgent_ = true;
+    }
     if (t >= next_exchange_ || (urgent_ && t >= next_exchange_ - (exchange_reports - soon) * s_.report_s)) {
         next_exchange_ = t + exchange_reports * s_.report_s;
         urgent_ = false;
--- a/src/policies/capacity.cpp
+++ b/src/policies/capacity.cpp
@@ -12,7 +12,7 @@
 constexpr double cheap_ratio = 1.5;    // of the lowest price a CPU second: such machines are always worth renting
 constexpr double window_used = 0.4;    // of the time an array has left, since estimates are often wrong by half
 constexpr double quiet_gaps = 8, sure_gaps = 20; // times the usual time between two arrays, known from so many
-constexpr double spare = 1.15;         // of what arrays need, kept
+constexpr double spare = 1.15;                   // of what arrays need, kept
 constexpr double silent_reports = 1.5, dead_reports = 2.5; // intervals without a word
 constexpr double most_silent = 0.05;                       // of a zone's ordinary machines; beyond, it is a cut
 constexpr double spare_gangs = 0.25;                       // of the machines in use by gangs, kept free of gangs
@@ -66,7 +66,8 @@
     const auto& l = v_.learned;
     // Where arrays came all the time and none has come for many times as long as between two, no more will for a
     // while: at the end of a day the fleet stood idle for minutes.
-    if (l.gaps >= sure_gaps && v_.now - std::max(l.offered_at, v_.unserved_at) > quiet_gaps * l.gap_s + s_.report_s) return {};
+    if (l.gaps >= sure_gaps && v_.now - std::max(l.offered_at, v_.unserved_at) > quiet_gaps * l.gap_s + s_.report_s)
+        return {};
     const double left = l.bias() * std::exp(-(v_.now - l.offered_at) / v_.average_s());
     return {l.offered * left, l.offered_ordinary * left};
 }
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -419,6 +419,7 @@
             w.id = w.addr = fmt::format("n-{:04}", ++machines);
             w.zone = r.zone;
             w.spot = r.spot;
+            w.rented_at = now;
             w.dead = true; // until it is up
             workers[w.id] = w;
             out.machines.push_back(w.id);
--- a/tests/test_cuts.cpp
+++ b/tests/test_cuts.cpp
@@ -17,6 +17,12 @@
     return w.broken.empty() ? "" : fmt::format("{} at {:.1f}", w.broken.front(), w.now);
 }
 
+// For runs by hand over many more: HERONSHIFT_SEED=1000 tests/heronshift_tests ...
+unsigned other_seeds() {
+    const char* by = std::getenv("HERONSHIFT_SEED");
+    return by == nullptr ? 0 : static_cast<unsigned>(std::strtoul(by, nullptr, 10));
+}
+
 // A fleet at work, with the times of a large one: services that must stay up, and short jobs all the time.
 struct Working : Fleet {
     Working(unsigned seed, std::size_t count, int most_machines) : Fleet(seed, count) {
@@ -147,7 +153,7 @@
         if (sanitized && k++ % 7 != 0) continue;
         std::string name;
         for (const int l : left) name += std::to_string(l);
-        if (const auto why = after_cut(left, mode, 7); !why.empty()) wrong += name + ": " + why + "\n";
+        if (const auto why = after_cut(left, mode, 7 + other_seeds()); !why.empty()) wrong += name + ": " + why + "\n";
     }
     EXPECT_EQ(wrong, "");
 }
@@ -157,7 +163,7 @@
                                             ::testing::Values(0, 1, 2, 3)));
 
 TEST(Cuts, OfSevenDrawnBySeed) {
-    std::mt19937 rng(77);
+    std::mt19937 rng(77 + other_seeds());
     std::string wrong;
     for (int k = 0; k < (sanitized ? 4 : 40); ++k) {
         Left left;
@@ -167,7 +173,7 @@
             name += std::to_string(left.back());
         }
         const auto mode = std::array{Mode::drop, Mode::refuse, Mode::hold}[rng() % 3];
-        if (const auto why = after_cut(left, mode, 70 + static_cast<unsigned>(k)); !why.empty())
+        if (const auto why = after_cut(left, mode, 70 + other_seeds() + static_cast<unsigned>(k)); !why.empty())
             wrong += fmt::format("{} mode {}: {}\n", name, static_cast<int>(mode), why);
     }
     EXPECT_EQ(wrong, "");
@@ -235,7 +241,7 @@
 
 TEST_P(Matrices, BreakNoRuleAndHealWhole) {
     const auto p = GetParam();
-    Working f(p.seed, p.controllers, p.machines);
+    Working f(p.seed + other_seeds(), p.controllers, p.machines);
     f.every_s = 20.0 / p.machines;
     f.late = 0.01;
     double next_trouble = 25;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -42,7 +42,7 @@
         std::string id, zone, addr;
         bool spot = false, cut = false, dead = false, sick = false, hung = false;
         std::uint64_t tenure = 1, counter = 0, fence = 0;
-        double lease_from = 0, next_beat = 0;
+        double lease_from = 0, next_beat = 0, rented_at = 0;
         std::size_t node = 0; // the controller it reports to
         bool in_flight = false;
         double well_since = -1; // not cut, hanging or dead
@@ -187,7 +187,7 @@
     Listed list() const {
         Listed l;
         for (const auto& [id, w] : workers)
-            if (!w.dead) l.machines.push_back({w.id, w.addr, "m8", w.zone, "running", w.spot, 100});
+            if (!w.dead) l.machines.push_back({w.id, w.addr, "m8", w.zone, "running", w.spot, now - w.rented_at});
         return l;
     }
 
@@ -421,8 +421,9 @@
                 out.outcome = RentOutcome::rented;
                 const auto id = fmt::format("n-{:04}", ++machines);
                 out.machines.push_back(id);
-                send(between(1, 5), [this, id, r = *r] {
+                send(between(1, 5), [this, id, r = *r, at = now] {
                     Worker w;
+                    w.rented_at = at;
                     w.id = id;
                     w.zone = r.zone;
                     w.addr = id;
