--- a/include/heronshift/ledger/ledger.hpp
+++ b/include/heronshift/ledger/ledger.hpp
@@ -149,18 +149,24 @@
 
     // ledger.cpp
     Job* find_job(const std::string& id);
-    Machine* find_machine(const std::string& id);
-    Machine& learn_machine(const std::string& id, const std::string& addr, const std::string& type,
-                           const std::string& zone, bool spot);
-    void bind_type(Machine& m);
-    bool apply_report(Machine& m, const Report& r, std::vector<Order>& reaps);
     void update_entry(Entry& e, const ReportedTask& t);
     void task_exited(Entry& e, const ReportedTask& t);
     void note_run(Job& j, const Machine& m, double ran);
     void mark_done(Job& j, std::uint32_t index);
-    bool may_reap(const ReportedTask& t);
     Entry& add_entry(Machine& m, Job& j, std::uint32_t index, std::uint64_t try_no);
     void remove_entry(Entry& e);
+    void queue_task(Job& j, std::uint32_t index);
+    void break_gang(Job& j);
+    void stop_entry(Entry& e, double drain_s);
+    void offer(const Job& j);
+
+    // machines.cpp
+    Machine* find_machine(const std::string& id);
+    Machine& learn_machine(const std::string& id, const std::string& addr, const std::string& type,
+                           const std::string& zone, bool spot);
+    void bind_type(Machine& m);
+    bool apply_report(Machine& m, const Report& r, std::vector<Order>& reaps);
+    bool may_reap(const ReportedTask& t);
     static Entry* find_entry(Machine& m, const ReportedTask& t);
     void lose_entries(Machine& m);
     int image_id(const std::string& name, double gb);
@@ -168,14 +174,10 @@
     void use_image(Machine& m, int image, bool ready);
     void want_orders(Machine& m);
     void forget_machine(const std::string& id);
-    void queue_task(Job& j, std::uint32_t index);
-    void break_gang(Job& j);
-    void stop_entry(Entry& e, double drain_s);
     void dispatch(Machine& m);
     void ask_machines();
     std::vector<Order> standing_orders(Machine& m);
     void note_spot_loss();
-    void offer(const Job& j);
 
     // needs.cpp: jobs that wait for others
     void join(Job& j);
--- /dev/null
+++ b/src/ledger/machines.cpp
@@ -0,0 +1,460 @@
+// Machines: what they say, what proves that a task is not there, what they are told, rentals and the list.
+#include "heronshift/ledger/ledger.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+
+namespace heronshift::ledger {
+namespace {
+
+// Steady clocks drift apart by up to 0.05%; twice that, and some for timer steps.
+constexpr double drift = 1.001;
+constexpr double lapse_margin_reports = 0.05; // of report_s
+constexpr std::size_t most_orders = 200;      // to a machine at once
+
+} // namespace
+
+Machine* Ledger::find_machine(const std::string& id) {
+    const auto it = st_.machines.find(id);
+    return it == st_.machines.end() ? nullptr : it->second.get();
+}
+
+void Ledger::bind_type(Machine& m) {
+    for (std::size_t i = 0; i < st_.types.size(); ++i)
+        if (st_.types[i].name == m.type_name) {
+            m.type = static_cast<int>(i);
+            m.whole = st_.types[i].room;
+        }
+    if (m.zone >= 0) return;
+    for (std::size_t i = 0; i < st_.settings.zones.size(); ++i)
+        if (st_.settings.zones[i] == m.zone_name) m.zone = static_cast<int>(i);
+    if (m.zone < 0) return;
+    for (auto& e : m.entries) { // counted as in an unknown zone until now
+        --e->job->zone_live[st_.settings.zones.size()];
+        ++e->job->zone_live[static_cast<std::size_t>(m.zone)];
+    }
+}
+
+Machine& Ledger::learn_machine(const std::string& id, const std::string& addr, const std::string& type,
+                               const std::string& zone, bool spot) {
+    auto& slot = st_.machines[id];
+    if (!slot) {
+        slot = std::make_unique<Machine>();
+        slot->id = id;
+        slot->known_since = st_.now;
+        slot->fence = st_.term << fence_bits;
+        if (const auto hint = image_hints_.find(id); hint != image_hints_.end()) {
+            for (const auto image : hint->second) slot->images.push_back({image, true, st_.now});
+            image_hints_.erase(hint);
+        }
+    }
+    if (!addr.empty()) slot->addr = addr;
+    if (slot->type_name.empty() && !type.empty()) {
+        slot->type_name = type;
+        slot->spot = spot;
+    }
+    if (slot->zone_name.empty()) slot->zone_name = zone;
+    if (slot->type < 0 || slot->zone < 0) bind_type(*slot);
+    return *slot;
+}
+
+double Ledger::lease_surely_s() const {
+    return st_.settings.lease_s * drift + st_.settings.report_s * lapse_margin_reports;
+}
+
+int Ledger::image_id(const std::string& name, double gb) {
+    const auto [it, fresh] = image_ids_.emplace(name, static_cast<int>(st_.image_gb.size()));
+    if (fresh) st_.image_gb.push_back(gb);
+    return it->second;
+}
+
+CachedImage* Ledger::cached(Machine& m, int image) {
+    for (auto& c : m.images)
+        if (c.image == image) return &c;
+    return nullptr;
+}
+
+// A machine keeps the images used last; what its cache cannot hold beside them is forgotten here too.
+void Ledger::use_image(Machine& m, int image, bool ready) {
+    auto* c = cached(m, image);
+    if (c == nullptr) c = &m.images.emplace_back(CachedImage{image, false, st_.now});
+    c->used = st_.now;
+    if (!ready || c->ready) return;
+    c->ready = true;
+    if (m.type < 0) return;
+    double room = st_.types[static_cast<std::size_t>(m.type)].cache_gb;
+    std::sort(m.images.begin(), m.images.end(), [](const auto& a, const auto& b) { return a.used > b.used; });
+    for (std::size_t i = 0; i < m.images.size(); ++i) {
+        room -= st_.image_gb[static_cast<std::size_t>(m.images[i].image)];
+        if (room >= 0 || i == 0) continue;
+        m.images.resize(i);
+        return;
+    }
+}
+
+void Ledger::want_orders(Machine& m) {
+    if (m.wants_orders) return;
+    m.wants_orders = true;
+    to_dispatch_.push_back(&m);
+}
+
+void Ledger::forget_machine(const std::string& id) {
+    const auto it = st_.machines.find(id);
+    if (it == st_.machines.end()) return;
+    if (it->second->asked) --asking_;
+    std::erase(to_dispatch_, it->second.get());
+    st_.machines.erase(it);
+}
+
+// All tasks here are gone for good; what a transaction under way names is settled by its outcome.
+void Ledger::lose_entries(Machine& m) {
+    for (std::size_t i = m.entries.size(); i-- > 0;)
+        if (m.entries[i]->phase != Phase::storing) remove_entry(*m.entries[i]);
+}
+
+bool Ledger::may_reap(const ReportedTask& t) {
+    if (t.cause != ExitCause::done) return true;
+    const auto* j = find_job(t.job);
+    if (j == nullptr || j->final != Final::none) return true;
+    return t.index >= j->tasks.size() || j->tasks[t.index].stored;
+}
+
+Entry* Ledger::find_entry(Machine& m, const ReportedTask& t) {
+    for (auto& e : m.entries)
+        if (e->index == t.index && e->try_no == t.try_no && e->job->spec.id == t.job) return e.get();
+    return nullptr;
+}
+
+// Returns false when the report shows that we are out of date.
+bool Ledger::apply_report(Machine& m, const Report& r, std::vector<Order>& reaps) {
+    if (r.fence > m.fence) {
+        if (r.fence >> fence_bits > st_.term) {
+            stepped_down_ = true;
+            out_.push_back(StepDown{fmt::format("{} has seen fence {} above ours", m.id, r.fence)});
+            return false;
+        }
+        if (r.fence >> fence_bits == st_.term) m.fence = r.fence;
+    }
+    const bool newer = r.tenure > m.tenure || (r.tenure == m.tenure && r.counter > m.counter);
+    if (!newer) return true; // late: its task list is as old as the report
+    if (r.fence >> fence_bits == st_.term) st_.unproven_machines.erase(m.id);
+    if (r.tenure > m.tenure) {
+        // A new tenure: all tasks of the earlier ones are gone, and commands for those are void.
+        for (std::size_t i = m.entries.size(); i-- > 0;)
+            if (m.entries[i]->tenure < r.tenure) {
+                ++counters_.lost;
+                remove_entry(*m.entries[i]);
+            }
+        m.tenure = r.tenure;
+        m.failed_jobs.clear();
+        // The lease of a new tenure counts from its beginning, which was at the latest now: it holds
+        // without any report that we answered. (Found by the world with several controllers.)
+        m.last_seen = std::max(m.last_seen, st_.now);
+    }
+    m.counter = r.counter;
+    m.heard = st_.now;
+    m.presumed_dead = false;
+    if (m.status != Status::up) {
+        m.last_seen = std::max(m.last_seen, st_.now); // it may report to nobody yet
+        m.status = Status::up;
+        if (m.up_since < 0) {
+            m.up_since = st_.now;
+            note(0, fmt::format("machine {} is up, {:.0f} s after it was asked for", m.id, st_.now - m.known_since));
+        }
+        if (m.entries.empty()) m.empty_since = st_.now;
+        dirty_ = true;
+    }
+    const auto mark = ++report_seq_;
+    std::vector<std::pair<Entry*, const ReportedTask*>> ended;
+    for (const auto& t : r.tasks) {
+        auto* e = find_entry(m, t);
+        if (e != nullptr) e->listed = mark;
+        if (t.state == TaskState::ended) {
+            if (e != nullptr) {
+                ended.emplace_back(e, &t);
+                continue;
+            }
+            if (auto* j = find_job(t.job);
+                j != nullptr && t.cause == ExitCause::done && t.index < j->tasks.size() && j->final == Final::none)
+                mark_done(*j, t.index);
+            if (may_reap(t)) reaps.push_back({Verb::reap, t.job, t.index, t.try_no, 0});
+            continue;
+        }
+        if (e != nullptr) {
+            update_entry(*e, t);
+            continue;
+        }
+        // A task that we do not know to be here. It occupies its place all the same.
+        auto* j = find_job(t.job);
+        if (j == nullptr || t.index >= j->tasks.size()) {
+            reaps.push_back({Verb::stop, t.job, t.index, t.try_no, 0});
+            continue;
+        }
+        const bool wanted = j->final == Final::none && !j->tasks[t.index].done && j->tasks[t.index].live == 0 &&
+                            (j->spec.shape != Shape::gang || j->gang_try == t.try_no);
+        auto& fresh = add_entry(m, *j, t.index, t.try_no);
+        fresh.listed = mark;
+        update_entry(fresh, t);
+        if (!wanted) stop_entry(fresh, 0);
+    }
+    // What is not listed is gone if it had been seen here before, or if the machine had by then
+    // seen a fence above that of its launch, which can therefore no longer be executed.
+    std::vector<Entry*> gone;
+    for (auto& e : m.entries)
+        if (e->listed != mark && e->phase >= Phase::sent && (e->seen || r.fence > e->fence)) gone.push_back(e.get());
+    for (const auto& [e, t] : ended) {
+        task_exited(*e, *t);
+        gone.push_back(e);
+    }
+    for (auto* e : gone) remove_entry(*e);
+    for (const auto& [e, t] : ended)
+        if (may_reap(*t)) reaps.push_back({Verb::reap, t->job, t->index, t->try_no, 0});
+    if (r.notice_s >= 0 && !m.draining) {
+        note_spot_loss();
+        m.draining = true;
+        m.notice_until = st_.now + r.notice_s;
+        note(1, fmt::format("machine {} is taken back in {:.0f} s", m.id, r.notice_s));
+        dirty_ = true;
+    }
+    return true;
+}
+
+std::vector<Order> Ledger::standing_orders(Machine& m) {
+    std::vector<Order> out;
+    for (auto& e : m.entries)
+        if (e->stop && e->phase >= Phase::sent) {
+            // A second stop of a saving task with no grace would end it before it has saved.
+            if (e->phase == Phase::saving && e->drain_s > 0) continue;
+            e->stop_at = st_.now;
+            out.push_back({Verb::stop, e->job->spec.id, e->index, e->try_no, e->drain_s});
+        }
+    return out;
+}
+
+void Ledger::heard(const Beat& c) {
+    const auto& r = c.report;
+    if (released_.contains(r.machine)) { // a report that was held on the way
+        out_.push_back(BeatAnswer{c.handle, 503, 0, {}});
+        return;
+    }
+    auto& m = learn_machine(r.machine, r.addr, r.type, r.zone, r.spot);
+    std::vector<Order> orders;
+    if (!apply_report(m, r, orders)) {
+        out_.push_back(BeatAnswer{c.handle, 503, 0, {}});
+        return;
+    }
+    m.last_seen = std::max(m.last_seen, st_.now);
+    auto stops = standing_orders(m);
+    orders.insert(orders.end(), stops.begin(), stops.end());
+    out_.push_back(BeatAnswer{c.handle, 200, m.fence, std::move(orders)});
+}
+
+void Ledger::dispatch(Machine& m) {
+    SendOrders o;
+    for (auto& e : m.entries) {
+        if (o.orders.size() >= most_orders) {
+            want_orders(m);
+            break;
+        }
+        if (e->stop && e->phase >= Phase::sent && e->stop_at < 0) {
+            e->stop_at = st_.now;
+            o.orders.push_back({Verb::stop, e->job->spec.id, e->index, e->try_no, e->drain_s});
+        }
+    }
+    for (std::size_t i = m.entries.size(); i-- > 0;) {
+        auto& e = *m.entries[i];
+        if (e.phase != Phase::stored) continue;
+        // Never sent, so it is surely not there.
+        if (e.stop || e.tenure != m.tenure || m.status != Status::up || m.addr.empty() || e.job->final != Final::none) {
+            remove_entry(e);
+            continue;
+        }
+        if (o.orders.size() >= most_orders) {
+            want_orders(m);
+            continue;
+        }
+        // Each launch is sent once: repeated after a reap it would start the task again.
+        e.phase = Phase::sent;
+        e.fence = m.fence;
+        ++counters_.launched;
+        o.orders.push_back({Verb::launch, e.job->spec.id, e.index, e.try_no, 0});
+    }
+    if (o.orders.empty()) return;
+    o.machine = m.id;
+    o.addr = m.addr;
+    o.batch = m.batch = ++batch_seq_;
+    o.fence = m.fence;
+    o.tenure = m.tenure;
+    out_.push_back(std::move(o));
+}
+
+// After a takeover workers find us one by one as their reports to others fail. Asked directly they
+// tell at once what they run, and having seen our term they prove what they do not run.
+void Ledger::ask_machines() {
+    constexpr std::size_t at_once = 40;
+    while (!to_ask_.empty() && asking_ < at_once) {
+        auto* m = find_machine(to_ask_.front());
+        to_ask_.pop_front();
+        if (m == nullptr || st_.now - m->heard < st_.settings.report_s || m->batch != 0 || m->addr.empty()) continue;
+        ++asking_;
+        m->asked = true;
+        m->batch = ++batch_seq_;
+        out_.push_back(SendOrders{m->id, m->addr, m->batch, m->fence, std::max<std::uint64_t>(1, m->tenure), {}});
+    }
+}
+
+void Ledger::answered(const OrdersAnswered& c) {
+    auto* m = find_machine(c.machine);
+    if (m == nullptr || m->batch != c.batch) return;
+    m->batch = 0;
+    if (m->asked) {
+        m->asked = false;
+        --asking_;
+        std::vector<Order> reaps;
+        if (c.report) apply_report(*m, *c.report, reaps);
+        want_orders(*m);
+        return;
+    }
+    want_orders(*m);
+    const auto fence = m->fence;
+    auto outstanding = [&](const Deep<std::unique_ptr<Entry>>& e) {
+        return e->phase == Phase::sent && !e->seen && e->fence == fence;
+    };
+    std::vector<Order> reaps;
+    if (c.status == 200 && c.report && c.report->tenure == m->tenure) {
+        // The body is the report after the commands: what it does not list did not start.
+        for (auto& e : m->entries)
+            if (outstanding(e) && c.report->counter > m->counter) e->seen = true;
+        apply_report(*m, *c.report, reaps);
+        // A newer report overtook this answer without settling a launch: raise the fence.
+        if (std::any_of(m->entries.begin(), m->entries.end(), outstanding)) ++m->fence;
+        return;
+    }
+    if (c.status == 409 || !c.sent) {
+        for (std::size_t i = m->entries.size(); i-- > 0;)
+            if (outstanding(m->entries[i])) remove_entry(*m->entries[i]);
+        for (auto& e : m->entries) e->stop_at = e->stop ? st_.now : e->stop_at; // beats repeat the stops
+        if (!c.sent) m->avoid_until = std::max(m->avoid_until, st_.now + st_.settings.report_s / 2);
+        if (c.report) apply_report(*m, *c.report, reaps);
+        return;
+    }
+    // The outcome is open: the commands may still be executed, minutes later. Raising the fence
+    // and seeing the raised value in a report proves that they no longer can be.
+    ++m->fence;
+    m->avoid_until = std::max(m->avoid_until, st_.now + st_.settings.report_s / 2);
+    note(0, fmt::format("no answer of {} to commands, fence raised to {}", m->id, m->fence));
+}
+
+void Ledger::lapse_machines() {
+    const double lease = lease_surely_s();
+    std::vector<std::string> remove;
+    for (auto& [id, mp] : st_.machines) {
+        auto& m = *mp;
+        if (m.status == Status::up && st_.now > m.last_seen + lease) {
+            if (!m.entries.empty()) note(2, fmt::format("lease of {} has lapsed, {} tasks lost", id, m.entries.size()));
+            for (const auto& e : m.entries) counters_.lost += e->phase >= Phase::sent;
+            if (m.spot) note_spot_loss();
+            lose_entries(m);
+            m.status = Status::lost;
+            m.empty_since = st_.now;
+            st_.unproven_machines.erase(id);
+        }
+        // Gone from the list for good, or never there: nothing of it is left to keep.
+        const bool unlisted =
+            st_.now - std::max(m.listed_at, m.known_since) > 4 * st_.settings.list_lag_s + 2 * st_.settings.lease_s;
+        if (m.status != Status::up && m.entries.empty() && unlisted && m.batch == 0) remove.push_back(id);
+    }
+    for (const auto& id : remove) forget_machine(id);
+}
+
+void Ledger::rented(const Rented& c) {
+    const auto it = st_.rentals.find(c.claim);
+    if (it == st_.rentals.end()) return;
+    auto& p = it->second;
+    p.in_flight = false;
+    if (c.outcome == RentOutcome::rented) {
+        for (const auto& id : c.machines) {
+            auto& m = learn_machine(id, "", p.type, p.zone, p.spot);
+            m.known_since = p.asked;
+        }
+        note(1, fmt::format("rented {} of {} {} in {}{}", c.machines.size(), p.count, p.type, p.zone,
+                            p.spot ? " (spot)" : ""));
+        if (static_cast<int>(c.machines.size()) < p.count)
+            st_.no_capacity[fmt::format("{}/{}/{}", p.type, p.zone, p.spot)] = st_.now + 2 * st_.settings.report_s;
+        st_.rentals.erase(it);
+    } else if (c.outcome == RentOutcome::no_capacity) {
+        st_.no_capacity[fmt::format("{}/{}/{}", p.type, p.zone, p.spot)] = st_.now + 2 * st_.settings.report_s;
+        st_.rentals.erase(it);
+    } else if (c.outcome == RentOutcome::failed) {
+        st_.rentals.erase(it); // surely not executed
+    } else {
+        // The answer was lost: the same claim again, so that nothing is rented twice.
+        p.in_flight = true;
+        out_.push_back(Rent{c.claim, p.type, p.zone, p.spot, p.count});
+    }
+}
+
+void Ledger::released(const Released& c) {
+    for (const auto& id : c.machines) {
+        auto* m = find_machine(id);
+        if (m == nullptr) continue;
+        m->release_asked = false;
+        if (!c.ok) {
+            m->release_retry = st_.now + st_.settings.report_s;
+            continue;
+        }
+        // By the time of the answer the machine and everything on it are gone.
+        lose_entries(*m);
+        if (!m->entries.empty()) continue; // asked again once the store has answered
+        released_[id] = st_.now;
+        forget_machine(id);
+    }
+    while (released_.size() > 2000) released_.erase(released_.begin());
+    dirty_ = true;
+}
+
+void Ledger::listed(const Listed& c) {
+    for (const auto& l : c.machines) {
+        // The list lags: what was released may still be in it for a while.
+        if (released_.contains(l.id)) continue;
+        auto& m = learn_machine(l.id, l.addr, l.type, l.zone, l.spot);
+        m.listed_at = st_.now;
+        // Known from records or a report first, as after a takeover, it is older than that: from a day on
+        // which no machine was emptied for a minute after each change of office, 300 too many kept.
+        m.known_since = std::min(m.known_since, st_.now - l.age_s);
+        if (l.status == "failed" && !m.releasing) {
+            note(1, fmt::format("machine {} has failed", m.id));
+            lose_entries(m);
+            m.status = Status::lost;
+            m.bad = true;
+        }
+        if (!st_.asked_all && l.status == "running") to_ask_.push_back(l.id);
+    }
+    st_.asked_all = true;
+    dirty_ = true;
+}
+
+void Ledger::types_known(std::vector<MachineType>&& types) {
+    st_.types = std::move(types);
+    for (auto& [id, m] : st_.machines) bind_type(*m);
+    dirty_ = true;
+}
+
+void Ledger::send_due_orders() {
+    const auto due = std::move(to_dispatch_);
+    to_dispatch_.clear();
+    for (auto* m : due) {
+        m->wants_orders = false;
+        if (m->batch == 0) dispatch(*m); // else once the answer is in
+    }
+    ask_machines();
+}
+
+void Ledger::note_spot_loss() {
+    auto& l = st_.learned;
+    l.spot_losses = l.spot_losses * std::exp(-(st_.now - l.spot_losses_at) / st_.average_s()) + 1;
+    l.spot_losses_at = st_.now;
+}
+
+} // namespace heronshift::ledger
