A leader refused by the store gives way on fresh word only; its renewals settle doubt

And a successor of a long-lived leader was refused the promise by it. Change: a peer that the store serves says so in the refusal of a promise, and only that makes the leader give way; renewals count as reads for the doubt about earlier attempts. Left: an outage within a handover.

--- a/include/heronshift/office/office.hpp
+++ b/include/heronshift/office/office.hpp
@@ -20,6 +20,7 @@
 #include "heronshift/store/store.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -94,6 +95,8 @@
     void claim(std::uint64_t term, std::uint64_t round_stamp);
     void took();
     void renew();
+    void refused_promise(const std::string& peer, double sent, const std::string& answer);
+    void yield_to_served();
     void consider_others();
     void give_up_if_unserved();
     [[nodiscard]] bool is_deaf(double t) const;
@@ -115,7 +118,8 @@
     std::uint64_t generation_ = 0; // of what this node is to the office: late answers of an earlier one are dropped
     double hold_sent_ = 0, next_renew_ = 0, taken_at_ = 0, next_look_ = 0;
     double seen_at_ = -1, known_at_ = -1, free_since_ = -1, fitter_since_ = -1; // below zero: not so
-    bool carried_ = false;                                                      // by promises, said once a term
+    std::map<std::string, double> served_; // by the store, as they said themselves: when they were asked
+    bool carried_ = false;                 // by promises, said once a term
     std::uint64_t takes_ = 0, handovers_ = 0, deaf_ends_ = 0;
 };
 
--- a/include/heronshift/office/tenancy.hpp
+++ b/include/heronshift/office/tenancy.hpp
@@ -56,7 +56,9 @@
     void attempt_unresolved() {
         doubt_ = true, served_since_ = -1;
     }
-    // A read by this node; after some time without a failure, no hold of an attempt can be left.
+    // A read by this node, or a renewal; after some time without a failure, no hold of an attempt can be left.
+    // (Where renewals did not count, a leader that had just given way refused its successor the promise, and in an
+    // outage that began then all leases ran out.)
     void store_read(bool ok, double now);
     // Gives the promise if it may be given; store_failed: a read made for it has just failed.
     bool promise(double length_s, double now, bool standby, bool store_failed);
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -11,6 +11,7 @@
 
 constexpr const char* peer_promise = "/peer/promise";
 constexpr const char* peer_take = "/peer/take";
+constexpr const char* served_field = "served";         // of a refused promise: the store has just answered there
 constexpr double attempt_s = 1;                        // for each step of taking the office
 constexpr double deaf_reports = 2, sure_reports = 1.5; // without a word from any worker: this node is cut off
 constexpr double deaf_leases = 0.5;                    // the same for one that never heard any in this term
@@ -55,10 +56,6 @@
 // store does not serve, or that hears from no worker at all, is as good as dead.
 void Office::consider_others() {
     const double t = later_.now();
-    // Cut off from the store while it serves others: the hold runs out, and waiting for that gains nothing.
-    if (t - tenancy_.renewed_at() > unserved_holds * tenancy_.ttl_s())
-        if (const auto to = members_.served_instead(members_.fitter().value_or("")); to)
-            return end_term(fmt::format("the store serves {}, not this node", *to), {*to});
     // Nobody else can take the office without the store. (In outages the holder gave it up to one that reached
     // one zone more; it stood empty until the store was back, and all leases ran out.)
     const bool served = members_.store() != membership::Reach::lost;
@@ -225,6 +222,7 @@
     holder_term_ = term_;
     taken_at_ = later_.now();
     tenancy_.begin();
+    served_.clear();
     tenancy_.hold_extended(hold_sent_); // counted from when it was asked for
     carried_ = false;
     next_renew_ = 0;
@@ -245,6 +243,7 @@
     next_renew_ = sent + ttl / 6;
     store_.extend(hold_, ttl / 5, [this, gen, sent](store::Answer&& r) {
         if (gen != generation_) return;
+        if (r.status == 200 || r.status == 503 || r.status == 0) tenancy_.store_read(r.status == 200, later_.now());
         if (r.status == 200)
             tenancy_.hold_extended(sent);
         else if (r.status == 404)
@@ -255,13 +254,42 @@
     for (const auto& p : s_.peers)
         peers_.request(Lane::control, p.name, "POST", peer_promise, body, ttl / 5,
                        [this, gen, sent, name = p.name](HttpReply&& r) {
-                           if (gen != generation_ || r.status != 200) return;
+                           if (gen != generation_) return;
+                           if (r.status == 409) return refused_promise(name, sent, r.body);
+                           if (r.status != 200) return;
                            if (!tenancy_.promised(name, sent, later_.now()) || carried_) return;
                            carried_ = true;
                            spdlog::info("the store does not answer; all others promise to wait");
                        });
 }
 
+// The store has just served that peer. Some more may say so before one of them is chosen.
+void Office::refused_promise(const std::string& peer, double sent, const std::string& answer) {
+    const auto j = codec::parse(answer);
+    if (!j.is_object() || !j.contains(served_field) || j[served_field] != true) return;
+    served_[peer] = sent;
+    later_.after(tenancy_.ttl_s() / 40, [this, gen = generation_] {
+        if (gen == generation_ && valid()) yield_to_served();
+    });
+}
+
+// Cut off from the store while it serves others: the hold runs out, and waiting for that gains nothing. That
+// others are served must be news of this moment. (A view of 0.3 s ago said so when an outage had just begun: the
+// leader that all others had promised to wait for gave its office up, nobody could take it for a minute, and
+// 13,000 tasks were killed by their leases.)
+void Office::yield_to_served() {
+    const double t = later_.now();
+    if (t - tenancy_.renewed_at() <= unserved_holds * tenancy_.ttl_s()) return;
+    std::vector<std::string> to;
+    for (const auto& [name, at] : served_)
+        if (t - at < tenancy_.ttl_s() / 4) to.push_back(name);
+    if (to.empty()) return;
+    std::stable_sort(to.begin(), to.end(), [this](const std::string& a, const std::string& b) {
+        return members_.standing(a) > members_.standing(b);
+    });
+    end_term(fmt::format("the store serves {}, not this node", to.front()), to);
+}
+
 // A peer that holds the office cannot renew its hold and asks us to leave it alone for a while. A
 // read of our own tells whether it is the store or only that peer.
 void Office::asked_to_promise(const HttpRequest& r, const Responder& res) {
@@ -272,7 +300,8 @@
         const bool failed = a.status == 503 || a.status == 0;
         tenancy_.store_read(!failed, later_.now());
         if (tenancy_.promise(length, later_.now(), state_ == State::standby, failed)) return res.send(200, "{}");
-        res.send(409, R"({"error":"the store answers here, or an attempt is under way"})");
+        res.send(409,
+                 Json{{"error", "the store answers here, or an attempt is under way"}, {served_field, !failed}}.dump());
     });
 }
 
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -335,15 +335,23 @@
             waiting.push_back({i, std::move(w), answer});
             return;
         }
+        const bool writes = std::holds_alternative<store::Transact>(c);
+        if (writes && chance() < late_writes) // no answer, and carried out after newer ones
+            return send(between(2, 12), [this, i, c] {
+                if (!refuses(i)) run_call(c);
+            });
         store::Answer a;
         a.status = 503;
-        if (!refuses(i)) {
-            engine->data().begin();
-            engine->expire(now_ms());
-            a = engine->run(c, now_ms());
-            engine->data().commit();
-        }
-        answer(std::move(a));
+        if (!refuses(i)) a = run_call(c);
+        if (!writes || chance() >= lost_answers) answer(std::move(a));
+    }
+    double late_writes = 0, lost_answers = 0; // shares of the transactions
+    store::Answer run_call(const store::Call& c) {
+        engine->data().begin();
+        engine->expire(now_ms());
+        auto a = engine->run(c, now_ms());
+        engine->data().commit();
+        return a;
     }
     void run_store() {
         if (store_down) return;
@@ -398,10 +406,16 @@
     // --- machines: as the protocol says ---
     void report_if_due(Worker& w) override {
         if (w.in_flight || w.cut || now < w.next_beat) return;
+        if (mute.contains(w.id)) {
+            w.node = (w.node + 1) % nodes.size();
+            w.next_beat = now + 5; // it waits for 4
+            return;
+        }
         w.in_flight = true;
         const double sent = now;
         const auto body = codec::to_body(report(w));
         if (copies > 0 && chance() < copies) copy(zone(w.zone), body);
+        if (kept_copies > 0 && chance() < kept_copies) kept.emplace_back(zone(w.zone), body);
         http(party(w), w.node, {"POST", std::string(codec::path_report), "", body}, false, 4,
              [this, id = w.id, sent, tenure = w.tenure](const std::optional<HttpReply>& a, bool) {
                  const auto it = workers.find(id);
@@ -435,7 +449,16 @@
                  execute(x, o->list);
              });
     }
-    double copies = 0; // the share of reports of which copies come late
+    double copies = 0;      // the share of reports of which copies come late
+    double kept_copies = 0; // the share of reports of which copies come to every controller when the leader changes
+    std::vector<std::pair<std::string, std::string>> kept; // from where, and the report
+    void deliver_kept() {
+        for (const auto& [from, body] : std::exchange(kept, {}))
+            for (std::size_t to = 0; to < nodes.size(); ++to)
+                http(from, to, {"POST", std::string(codec::path_report), "", body}, false, 4,
+                     [](const std::optional<HttpReply>&, bool) {});
+    }
+    std::set<std::string> mute; // reach no controller, while orders reach them
     // Up to three, at any controller, some by way of another.
     void copy(const std::string& from, const std::string& body) {
         for (int k = 0; k < 3; ++k)
@@ -496,7 +519,8 @@
         run_users();
         for (auto& [id, w] : workers) {
             const auto d = deaf.find(id);
-            const bool hears = (d == deaf.end() || d->second < nodes.size()) && !misses_answers.contains(id);
+            const bool hears =
+                (d == deaf.end() || d->second < nodes.size()) && !misses_answers.contains(id) && !mute.contains(id);
             if (w.cut || w.hung || w.dead || w.well_since < 0 || !hears) w.well_since = now;
         }
         int holders = 0;
@@ -504,7 +528,10 @@
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             if (!acts(i)) continue;
             ++holders;
-            if (last_holder != i) changes.push_back(now);
+            if (last_holder != i) {
+                changes.push_back(now);
+                deliver_kept();
+            }
             last_holder = i;
         }
         look_for_paths();
--- a/tests/machines.hpp
+++ b/tests/machines.hpp
@@ -84,7 +84,7 @@
     std::map<std::string, JobSpec> jobs;
     std::map<std::string, double> cancelled; // told to the user
     std::set<std::string> done_tasks;
-    int started = 0;
+    int started = 0, started_cancelled = 0; // the latter: launched though their users knew them as cancelled
     std::vector<std::string> broken;
     std::function<double(std::uint32_t)> takes; // how long a task runs, by its index
 
@@ -112,6 +112,7 @@
             });
             if (o.verb == Verb::launch) {
                 if (it != w.tasks.end()) continue;
+                started_cancelled += cancelled.contains(o.job);
                 Worker::Run t{o.job, o.index, o.try_no, TaskState::fetching, ExitCause::none, now + between(0.1, 2)};
                 Resources used = jobs[o.job].each;
                 for (const auto& x : w.tasks)
--- /dev/null
+++ b/tests/test_gap.cpp
@@ -0,0 +1,124 @@
+// The gap: the state service refuses the leader alone, another controller confirms cancellations, then the
+// service is down for all for longer than cancel_s, while workers go on reporting to the old leader.
+#include "troubles.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift::testing {
+namespace {
+
+struct Gap : Troubled {
+    Gap(unsigned seed, std::size_t controllers) : Troubled(seed + other_seeds(), controllers, 24) {
+        every_s = 6;
+        takes = [this](std::uint32_t) { return between(60, 110); }; // they would go on past cancel_s
+        before_step = [this] { every_step(); };
+    }
+    double cancel_until = -1, next_cancel = 0;
+    std::size_t cancels = 0;
+    int lapses_before = 0;
+    bool in_handover = false; // the outage began while the leadership passed from one to another
+
+    // Users cancel what runs, ten a second.
+    void every_step() {
+        if (now > cancel_until || now < next_cancel) return;
+        next_cancel = now + 0.1;
+        std::vector<std::string> running;
+        for (const auto& [id, w] : workers)
+            for (const auto& t : w.tasks)
+                if (t.state == TaskState::running && jobs[t.job].shape != Shape::service && !asks[t.job].cancels)
+                    running.push_back(t.job);
+        if (running.empty()) return;
+        withdraw(running[pick(running.size())]);
+        ++cancels;
+    }
+    std::string what_is_wrong() {
+        if (!broken.empty()) return first(*this);
+        if (started_cancelled > 0) return fmt::format("{} tasks started after their cancellation", started_cancelled);
+        return {};
+    }
+};
+
+enum class Besides : std::uint8_t { nothing, answers_lost, leader_ends, machines_hang, machines_cut, peers_cut };
+
+struct Story {
+    std::size_t controllers;
+    double after_s; // from the refusal to the outage
+    Besides besides;
+    friend std::ostream& operator<<(std::ostream& o, const Story& s) {
+        return o << s.controllers << " outage after " << s.after_s << " besides " << static_cast<int>(s.besides);
+    }
+};
+
+std::vector<Story> stories() {
+    std::vector<Story> out;
+    for (const std::size_t n : {3U, 5U})
+        for (const double after : {0.1, 0.5, 1.0, 1.5, 2.0, 5.0})
+            for (const auto b : {Besides::nothing, Besides::answers_lost, Besides::leader_ends, Besides::machines_hang,
+                                 Besides::machines_cut, Besides::peers_cut})
+                if (!sanitized || (out.size() + static_cast<std::size_t>(b)) % 5 == 0) out.push_back({n, after, b});
+    return out;
+}
+
+// Once: the refusal, the cancellations, the outage; then all is well again.
+void pass(Gap& f, const Story& s, std::size_t asked_at) {
+    const auto leader = *f.holder();
+    const auto n = f.nodes.size();
+    // At the old leader, at the others in turn, or wherever the balancer sends them.
+    if (asked_at < n) f.cancels_at = (leader + asked_at) % n;
+    f.cancel_until = f.now + s.after_s;
+    f.nodes[leader].refused_by_store = true;
+    if (s.besides == Besides::answers_lost) f.lost_answers = 0.5;
+    if (s.besides == Besides::peers_cut)
+        for (std::size_t o = 0; o < n; ++o)
+            if (o != leader) f.both(f.nodes[leader].name, f.nodes[o].name, Mode::drop);
+    if (s.besides == Besides::leader_ends) f.send(s.after_s * f.chance(), [&f, leader] { f.crash(leader, 1); });
+    if (s.besides == Besides::machines_hang || s.besides == Besides::machines_cut)
+        for (auto& [id, w] : f.workers)
+            if (f.chance() < 0.3) (s.besides == Besides::machines_hang ? w.hung : w.cut) = true;
+    f.work(s.after_s);
+    f.store_down = true;
+    f.lost_answers = 0;
+    f.lapses_before = f.lapses;
+    f.send(f.between(5, f.settings.lease_s * 0.8), [&f] {
+        for (auto& [id, w] : f.workers) w.hung = w.cut = false;
+    });
+    f.work(0.5);
+    f.in_handover = !f.holder();
+    f.work(f.settings.cancel_s + 12);
+    f.heal();
+    f.nodes[leader].refused_by_store = false;
+    f.cancels_at.reset();
+    f.end_outage();
+}
+
+class GapStories : public ::testing::TestWithParam<Story> {};
+
+TEST_P(GapStories, NoTaskOutlivesItsCancellation) {
+    const auto s = GetParam();
+    const auto where = static_cast<std::size_t>(s.after_s * 10 + static_cast<int>(s.besides)) % 3;
+    Gap f(400, s.controllers);
+    ASSERT_TRUE(f.settle(45));
+    pass(f, s, where); // asked at the old leader, the next, the one after it
+    EXPECT_EQ(f.what_is_wrong(), "");
+    EXPECT_GT(f.cancels, 0U);
+    // Once the successor acts, users hear that their jobs are cancelled; and somebody answers the workers.
+    if (s.besides == Besides::nothing) {
+        EXPECT_EQ(f.cancelled.empty(), s.after_s < 5);
+        EXPECT_TRUE(!f.in_handover || (s.after_s >= 1 && s.after_s <= 2));
+        if (!f.in_handover) {
+            EXPECT_EQ(f.lapses, f.lapses_before);
+        }
+    }
+    f.work(f.leases(2));
+    ASSERT_TRUE(f.holder());
+    if (s.after_s >= 2) pass(f, s, 99); // once more on the same day, asked anywhere
+    EXPECT_EQ(f.what_is_wrong(), "");
+    f.takes = {};
+    EXPECT_EQ(f.day_end(f.leases(5), f.settings.cancel_s * 2), "");
+    EXPECT_EQ(f.what_is_wrong(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Gap, GapStories, ::testing::ValuesIn(stories()));
+
+} // namespace
+} // namespace heronshift::testing
--- a/tests/users.hpp
+++ b/tests/users.hpp
@@ -1,6 +1,7 @@
 // Users of a fleet behind their load balancer, and what they must find at the end of every day.
 #pragma once
 
+#include "answers.hpp"
 #include "day_end.hpp"
 #include "fleet.hpp"
 
@@ -22,10 +23,19 @@
 
     std::map<std::string, User> asks; // by job
     int answers_503 = 0, answers = 0;
+    std::optional<std::size_t> cancels_at; // where users ask for cancellations; none: anywhere
     double next_health = 0;
 
+    Answers history; // of all answers, also those to the close looks
+    // Users look at all controllers within moments after a job was accepted, is over or was cancelled, repeat its
+    // submission, and some cancel it then.
+    bool close_looks = false;
+    double looks_cancel = 0; // the share of jobs
+    int looks = 0;
+
     void ask(const JobSpec& spec) {
         jobs[spec.id] = spec;
+        history.submitted(spec.id);
         auto& u = asks[spec.id];
         u.seen = {spec.id, spec.job_class, spec.team, spec.shape, spec.tasks * (spec.each.cpus + spec.each.gpus), now};
         u.next_at = now;
@@ -34,6 +44,33 @@
         if (!asks.contains(id)) return;
         asks[id].cancels = true;
         asked.insert(id);
+        history.cancel_asked(id);
+    }
+    void look_closely(const std::string& id) {
+        const std::string path(codec::path_jobs);
+        const bool cancels = chance() < looks_cancel && !asks[id].cancels;
+        if (cancels) withdraw(id);
+        for (std::size_t to = 0; to < nodes.size(); ++to) {
+            const auto look = [this, id, to](HttpRequest r, bool cancel) {
+                send(between(0, 0.4), [this, id, to, r, cancel] {
+                    ++looks;
+                    http(users, to, r, false, cancel || r.method == "POST" ? 5 : 2,
+                         [this, id, to, asked_at = now](const std::optional<HttpReply>& a, bool) {
+                             if (a) heard(id, nodes[to].name, asked_at, *a);
+                         });
+                });
+            };
+            for (int k = 0; k < 2; ++k) look({"GET", path + "/" + id, "", ""}, false);
+            look({"POST", path, "", codec::to_body(jobs[id])}, false);
+            if (cancels) look({"POST", path + "/" + id + "/cancel", "", "{}"}, true);
+        }
+    }
+    void heard(const std::string& id, const std::string& by, double asked_at, const HttpReply& a) {
+        const auto j = codec::job_answer_of(a.body);
+        const auto before = history.broken().size();
+        history.answered(id, by, asked_at, now, a.status, j ? j->status : "");
+        if (history.broken().size() > before) broken.push_back(history.broken().back());
+        if (j && j->status == codec::status_cancelled) cancelled.emplace(id, now);
     }
     void begun(const Worker::Run& t) override {
         if (const auto u = asks.find(t.job); u != asks.end() && u->second.seen.begun_at < 0)
@@ -62,24 +99,26 @@
         for (auto& [id, u] : asks) {
             const bool over = u.seen.done_at >= 0 && over_at < 0; // at the end users ask for those, too
             if (u.asking || now < u.next_at || over) continue;
-            const auto to = balanced();
+            auto to = balanced();
             u.next_at = now + 1;
             if (!to) continue;
             u.asking = true;
             const std::string path = std::string(codec::path_jobs);
             const bool cancel = u.accepted() && u.cancels && u.seen.done_at < 0;
+            if (cancel && cancels_at) to = cancels_at;
             const bool post = !u.accepted() || (u.repeat_at >= 0 && now >= u.repeat_at);
             HttpRequest r = post     ? HttpRequest{"POST", path, "", codec::to_body(jobs[id])}
                             : cancel ? HttpRequest{"POST", path + "/" + id + "/cancel", "", "{}"}
                                      : HttpRequest{"GET", path + "/" + id, "", ""};
             if (!u.accepted()) submitted.emplace(id, now);
             http(users, *to, std::move(r), false, post || cancel ? 5 : 2,
-                 [this, id = id, cancel, post](const std::optional<HttpReply>& a, bool) {
-                     answered(id, cancel, post, a);
+                 [this, id = id, post, to = *to, asked_at = now](const std::optional<HttpReply>& a, bool) {
+                     if (a) heard(id, nodes[to].name, asked_at, *a);
+                     answered(id, post, a);
                  });
         }
     }
-    void answered(const std::string& id, bool cancel, bool post, const std::optional<HttpReply>& a) {
+    void answered(const std::string& id, bool post, const std::optional<HttpReply>& a) {
         auto& u = asks[id];
         u.asking = false;
         u.next_at = now + (over_at >= 0 && u.accepted() && !post ? 5 : 1);
@@ -94,12 +133,13 @@
         if (!j || (a->status != 200 && a->status != 201)) return;
         if (over_at >= 0) u.seen.silent_s = std::max(u.seen.silent_s, now - std::max(u.answered_at, over_at));
         u.answered_at = now;
+        const bool news = !u.accepted() || Answers::is_final(j->status);
         if (!u.accepted()) u.seen.accepted_at = now;
         if (post) u.repeat_at = -1;
         if (!u.cancels && over_at < 0) u.next_at = now + between(2, 5);
-        if (cancel && j->status == codec::status_cancelled) cancelled.emplace(id, now);
         hear(id, j->status);
         if (told.contains(id) && u.seen.done_at < 0) u.seen.done_at = now;
+        if (news && close_looks && over_at < 0) look_closely(id);
     }
 
     // --- the end of the day ---
@@ -110,7 +150,8 @@
         heal();
         deaf.clear();
         misses_answers.clear();
-        copies = 0;
+        mute.clear();
+        copies = kept_copies = late_writes = lost_answers = 0;
         if (store_down) end_outage();
         for (auto& n : nodes) {
             n.refused_by_store = false;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -449,8 +449,8 @@
         if (holders > 1) broken.push_back("two holders");
         for (const auto& [id, w] : workers)
             for (const auto& t : w.tasks)
-                if (!w.dead && t.state == TaskState::running && cancelled.contains(t.job) &&
-                    now > cancelled[t.job] + settings.cancel_s)
+                if (!w.dead && (t.state == TaskState::running || t.state == TaskState::waiting) &&
+                    cancelled.contains(t.job) && now > cancelled[t.job] + settings.cancel_s)
                     broken.push_back("ran_cancelled " + t.job);
     }
 
