--- a/include/heronshift/ledger/ledger.hpp
+++ b/include/heronshift/ledger/ledger.hpp
@@ -21,6 +21,7 @@
 struct JobView {
     std::string_view status;
     std::uint64_t done = 0, running = 0;
+    bool settling = false; // it may be over in the store already: a fresh read must say so, or that it is not
 };
 
 // Told by the ledger of what has to be stored.
--- a/include/heronshift/ledger/state.hpp
+++ b/include/heronshift/ledger/state.hpp
@@ -73,6 +73,7 @@
     std::uint32_t done = 0, live = 0, running = 0;
     Final final = Final::none;
     bool final_stored = false, final_queued = false, guaranteed = false;
+    bool final_sent = false; // to the store, which may hold it and tell others before its answer comes
     std::vector<std::uint32_t> unstored; // done, not yet in the store
     std::vector<std::uint32_t> zone_live;
     std::uint32_t on_pool = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -159,11 +159,19 @@
     });
 }
 
+// From memory, where this node acts. Not while the transaction with the job's final state is under way: others may
+// have read it and told it before its answer comes here. (Its answer was lost; a repeated submission was answered
+// "done" by another controller, and a question a moment later "pending" by the leader.)
+std::optional<JobView> Gateway::known_here(const std::string& id) const {
+    const auto* core = host_.acting();
+    const auto v = core != nullptr ? core->view(id) : std::nullopt;
+    return v && v->settling ? std::nullopt : v;
+}
+
 // The store's answer is as new as any: what was told was stored before.
 void Gateway::poll(const std::string& id, Responder res) {
-    if (const auto* core = host_.acting(); core != nullptr)
-        if (const auto v = core->view(id); v)
-            return res.send(200, codec::job_answer(id, v->status, v->done, v->running));
+    if (const auto v = known_here(id); v)
+        return res.send(200, codec::job_answer(id, v->status, v->done, v->running));
     look_up(id, [id, res](Found f) {
         if (!f.known) return res.send(503, not_now, retry_soon_s);
         if (f.status.empty()) return res.send(404, error_answer("no such job"));
@@ -261,8 +269,7 @@
         id = std::get<JobSpec>(parsed).id;
     }
     if (tell_final(id, res)) return;
-    if (const auto* core = host_.acting(); core != nullptr)
-        if (const auto v = core->view(id); v) return res.send(200, codec::job_answer(id, v->status));
+    if (const auto v = known_here(id); v) return res.send(200, codec::job_answer(id, v->status));
     if (status == 0) {
         if (host_.types().empty()) return res.send(503, not_now, retry_soon_s);
         refusal = impossible(std::get<JobSpec>(parsed));
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -276,6 +276,7 @@
         v.status = j.final == Final::done ? codec::status_done : codec::status_cancelled;
     else
         v.status = j.running > 0 ? codec::status_running : codec::status_pending;
+    v.settling = j.final_sent && !j.final_stored;
     return v;
 }
 
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -292,6 +292,7 @@
         from.pop_front();
         j->final_queued = false;
         const auto* status = word_of(j->final == Final::done);
+        j->final_sent = true;
         if (!j->final_stored) d.add("f/" + j->spec.id, codec::final_record(status, j->spec.shape), 40);
         if (j->live == 0) {
             d.add("j/" + j->spec.id, std::nullopt, 0);
@@ -623,6 +624,7 @@
     auto again = [&](Job& j) { final_due(j, Urgency::done); };
     for (auto& [j, final] : f.finals) {
         if (!ok) {
+            j->final_sent = false; // surely not carried out
             again(*j);
             continue;
         }
@@ -664,6 +666,7 @@
         for (auto& key : f.gone) gone_records_.push_back(std::move(key));
     for (auto& [j, final] : f.moves) {
         if (!ok) {
+            j->final_sent = false;
             again(*j);
             continue;
         }
