--- a/tests/test_gap.cpp
+++ b/tests/test_gap.cpp
@@ -120,5 +120,18 @@
 
 INSTANTIATE_TEST_SUITE_P(Gap, GapStories, ::testing::ValuesIn(stories()));
 
+// A view of the others that is older than the outage made the leader give its office up, to nobody.
+TEST(Gap, ALeaderThatAllPromiseToWaitForStays) {
+    for (unsigned k = 0; k < (sanitized ? 4 : 24); ++k) {
+        Gap f(450 + k, 5);
+        ASSERT_TRUE(f.settle(45 + 0.1 * k)) << k;
+        const auto leader = *f.holder();
+        pass(f, {5, 0.5 + 0.1 * (k % 3), Besides::nothing}, 99);
+        EXPECT_EQ(f.what_is_wrong(), "") << k;
+        EXPECT_EQ(f.holder(), leader) << k;
+        EXPECT_EQ(f.lapses, f.lapses_before) << k;
+    }
+}
+
 } // namespace
 } // namespace heronshift::testing
--- a/tests/test_meetings.cpp
+++ b/tests/test_meetings.cpp
@@ -83,6 +83,63 @@
     }
 }
 
+// At every controller: a known id gets its state whatever else is wrong, an unknown one the error of the protocol.
+TEST(Meetings, OddRequestsGetTheSameAnswerEverywhere) {
+    Meeting f(510);
+    ASSERT_TRUE(f.settle(40));
+    std::string done, open;
+    for (const auto& [id, u] : f.asks) {
+        if (const auto t = f.told.find(id); t != f.told.end() && t->second == codec::status_done) done = id;
+        if (f.jobs[id].shape == Shape::service && u.accepted()) open = id;
+    }
+    ASSERT_FALSE(done.empty() || open.empty());
+    const std::string runs(codec::path_jobs);
+    const auto body = [](JobSpec spec, const std::string& id, const char* without) {
+        spec.id = id;
+        auto j = codec::parse(codec::to_body(spec));
+        if (without != nullptr) j.erase(without);
+        return j.dump();
+    };
+    auto huge = job(1, Shape::array, 1, 99);
+    auto crowd = job(1, Shape::gang, 500, 4); // beyond its team's limit, all of it
+    auto stranger = job(1, Shape::array, 1, 1, "nobody");
+    const auto plain = job(1, Shape::array, 1, 1);
+    struct Odd {
+        HttpRequest r;
+        int status;
+        std::string says;
+    };
+    std::vector<Odd> odd{{{"POST", runs, "", "[1"}, 400, "error"},
+                         {{"POST", runs, "", "{\"id\":7}"}, 400, "id"},
+                         {{"POST", runs + "/" + done + "/cancel", "", "{}"}, 200, "done"},
+                         {{"POST", runs + "/wk-999999/cancel", "", "{}"}, 404, "no such job"},
+                         {{"GET", runs + "/wk-999999", "", ""}, 404, "no such job"}};
+    for (const auto& [spec, status, why] : std::vector<std::tuple<JobSpec, int, const char*>>{
+             {huge, 422, "machine type"}, {crowd, 422, "cpus"}, {stranger, 422, "owner"}}) {
+        odd.push_back({{"POST", runs, "", body(spec, "wk-999998", nullptr)}, status, why});
+        odd.push_back({{"POST", runs, "", body(spec, done, nullptr)}, 200, "done"});
+    }
+    for (const char* field : {"owner", "shards", "cpus", "bundle", "shape"}) {
+        odd.push_back({{"POST", runs, "", body(plain, "wk-999997", field)}, 400, field});
+        odd.push_back({{"POST", runs, "", body(plain, done, field)}, 200, "done"});
+        odd.push_back({{"POST", runs, "", body(plain, open, field)}, 200, open});
+    }
+    int answered = 0;
+    for (std::size_t to = 0; to < f.nodes.size(); ++to)
+        for (const auto& o : odd)
+            f.send(f.between(0, 8), [&f, &answered, to, o] {
+                f.http(Fleet::users, to, o.r, false, 5, [&answered, to, o](const std::optional<HttpReply>& a, bool) {
+                    ASSERT_TRUE(a);
+                    ++answered;
+                    EXPECT_EQ(a->status, o.status) << to << ' ' << o.r.path << ' ' << o.r.body << ' ' << a->body;
+                    EXPECT_NE(a->body.find(o.says), std::string::npos) << to << ' ' << o.r.body << ' ' << a->body;
+                });
+            });
+    f.work(15);
+    EXPECT_EQ(answered, static_cast<int>(odd.size() * f.nodes.size()));
+    EXPECT_EQ(f.wrong(), "");
+}
+
 // The rest in one form: what happens from the moment that the fleet is at work; then rules, answers and the end of
 // the day are checked. docs/meetings.md says which line of the users' page each stands for.
 struct Scene {
