--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -3,6 +3,7 @@
 #include "heronshift/each.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace heronshift {
 namespace {
@@ -107,23 +108,39 @@
 std::vector<metrics::Value> Core::metrics() const {
     const auto& v = ledger_.view();
     const auto& n = ledger_.counters();
-    std::size_t up = 0, live = 0;
+    std::size_t up = 0, live = 0, deaf = 0;
     for (const auto& [id, m] : v.machines) {
         up += m->status == ledger::Status::up;
         live += m->entries.size();
+        deaf += m->deaf();
+    }
+    std::map<std::string, double> by_class, by_team; // the oldest that waits
+    for (const auto& [id, j] : v.jobs) {
+        if (j->final != ledger::Final::none || j->waits || j->live > 0) continue;
+        for (auto* wait : {&by_class[j->spec.job_class], &by_team[j->spec.team]})
+            *wait = std::max(*wait, v.now - j->ready);
     }
     const auto of = [](auto x) { return static_cast<double>(x); };
-    return {{"heronshift_term", "of office", of(v.term)},
-            {"heronshift_jobs", "known to the holder", of(v.jobs.size())},
-            {"heronshift_machines", "rented, as far as known", of(v.machines.size())},
-            {"heronshift_machines_up", "that report", of(up)},
-            {"heronshift_tasks_live", "on machines, or not surely off them", of(live)},
-            {"heronshift_launches_total", "tasks sent to machines in this term", of(n.launched)},
-            {"heronshift_lost_total", "tasks lost with their machine in this term", of(n.lost)},
-            {"heronshift_preempted_total", "tasks stopped for others in this term", of(n.preempted)},
-            {"heronshift_moved_total", "tasks moved in this term", of(n.moved)},
-            {"heronshift_passes_total", "of placement over all that waits, in this term", of(ledger_.passes())},
-            {"heronshift_commits_total", "transactions in this term", of(records_.committed_count())}};
+    std::vector<metrics::Value> out{
+        {"heronshift_term", "of office", of(v.term)},
+        {"heronshift_jobs", "known to the holder", of(v.jobs.size())},
+        {"heronshift_machines", "rented, as far as known", of(v.machines.size())},
+        {"heronshift_machines_up", "that report", of(up)},
+        {"heronshift_tasks_live", "on machines, or not surely off them", of(live)},
+        {"heronshift_launches_total", "tasks sent to machines in this term", of(n.launched)},
+        {"heronshift_lost_total", "tasks lost with their machine in this term", of(n.lost)},
+        {"heronshift_preempted_total", "tasks stopped for others in this term", of(n.preempted)},
+        {"heronshift_moved_total", "tasks moved in this term", of(n.moved)},
+        {"heronshift_passes_total", "of placement over all that waits, in this term", of(ledger_.passes())},
+        {"heronshift_commits_total", "transactions in this term", of(records_.committed_count())},
+        {"heronshift_machines_deaf", "that report and do not hear", of(deaf)},
+        {"heronshift_reports_dropped_total", "copies, in this term", of(n.old_reports), {{"why", "old"}}},
+        {"heronshift_reports_dropped_total", "copies, in this term", of(n.gone_reports), {{"why", "machine gone"}}}};
+    constexpr const char* help = "seconds since the oldest job of which nothing runs was ready";
+    for (const auto& [name, s] : by_class)
+        out.push_back({"heronshift_oldest_wait_seconds", help, s, {{"class", name}}});
+    for (const auto& [name, s] : by_team) out.push_back({"heronshift_oldest_wait_seconds", help, s, {{"team", name}}});
+    return out;
 }
 
 } // namespace heronshift
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -271,6 +271,23 @@
     EXPECT_EQ(all<BeatAnswer>(s.give(Beat{OneTask::report(11, s.fence), 7})).at(0).status, 200);
 }
 
+TEST(Core, CountsCopiesAndTheOldestWaitByClassAndTeam) {
+    OneTask t;
+    const auto value = [&t](const std::string& name, const std::string& label) {
+        for (const auto& m : t.core.metrics())
+            if (m.name == name && m.labels.size() == 1 && m.labels[0].second == label) return m.value;
+        return -1.0;
+    };
+    const auto copies = value("heronshift_reports_dropped_total", "old");
+    t.give(Beat{OneTask::report(1, t.fence), 9}); // the one that was heard first
+    EXPECT_EQ(value("heronshift_reports_dropped_total", "old"), copies + 1);
+    t.give(JobStored{job(7, Shape::array, 1, 500), 3}); // fits no machine, and was ready 3 s ago
+    t.idle(2);
+    EXPECT_NEAR(value("heronshift_oldest_wait_seconds", "red"), 5, 0.2);
+    EXPECT_NEAR(value("heronshift_oldest_wait_seconds", "c"), 5, 0.2);
+    EXPECT_EQ(value("heronshift_oldest_wait_seconds", "blue"), -1);
+}
+
 // Passes of placement in three intervals while so many jobs wait that no machine can take.
 double passes_with(int waiting) {
     OneTask t;
