--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -16,7 +16,7 @@
 constexpr double deaf_reports = 2, sure_reports = 1.5; // without a word from any worker: this node is cut off
 constexpr double deaf_leases = 0.5;                    // the same for one that never heard any in this term
 constexpr double steady_reports = 0.5;                 // for so long another must be fitter
-constexpr double unserved_holds = 0.45;                // of its length, not renewed while the store serves others
+constexpr double unserved_holds = 0.7;                 // of its length, not renewed while the store serves others
 constexpr double unserved_leases = 0.5;                // for so long the office may stand without anybody who may act
 constexpr double look_reports = 1.0 / 10;
 constexpr double forget_reports = 2; // without the store's or a peer's word
@@ -273,10 +273,12 @@
     });
 }
 
-// Cut off from the store while it serves others: the hold runs out, and waiting for that gains nothing. That
-// others are served must be news of this moment. (A view of 0.3 s ago said so when an outage had just begun: the
-// leader that all others had promised to wait for gave its office up, nobody could take it for a minute, and
-// 13,000 tasks were killed by their leases.)
+// Cut off from the store while it serves others: the hold runs out, and waiting for that gains nothing. But a refusal
+// of one is often the beginning of an outage for all, and an outage that begins in the middle of a change finds nobody
+// who may act: so it waits for a good part of the hold, and others are fit to follow within the rest. That others are
+// served must be news of this moment. (A view of 0.3 s ago said so when an outage had just begun: the leader that all
+// others had promised to wait for gave its office up, nobody could take it for a minute, and 13,000 tasks were killed
+// by their leases.)
 void Office::yield_to_served() {
     const double t = later_.now();
     if (t - tenancy_.renewed_at() <= unserved_holds * tenancy_.ttl_s()) return;
