A parameter that nobody uses any more, and the names of all controllers in one place

Since the leader gives way on fresh word, served_instead is asked by one caller without a preference. No behaviour changes: the same peer is returned.

--- a/include/heronshift/membership/membership.hpp
+++ b/include/heronshift/membership/membership.hpp
@@ -83,7 +83,7 @@
     // A peer that reaches the store and is reached from here: the one named, if it is one of them.
     [[nodiscard]] std::optional<std::string> with_store(const std::string& rather) const;
     // While the store does not answer this node: a peer that it has answered since.
-    [[nodiscard]] std::optional<std::string> served_instead(const std::string& rather) const;
+    [[nodiscard]] std::optional<std::string> served_instead() const;
     // A peer that reaches the workers of a zone and is reached from here.
     [[nodiscard]] std::optional<std::string> way_to(const std::string& zone);
     // Whether a worker of this zone should report to the holder itself: so unless the holder says it
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -424,13 +424,10 @@
     return out;
 }
 
-std::optional<std::string> Membership::served_instead(const std::string& rather) const {
-    std::optional<std::string> out;
-    for (const auto& [name, o] : others_) {
-        if (!fresh(o) || o.view.store != Reach::works || !store_.lost() || !since_lost(o.store_at, store_)) continue;
-        if (!out || name == rather) out = name;
-    }
-    return out;
+std::optional<std::string> Membership::served_instead() const {
+    for (const auto& [name, o] : others_)
+        if (fresh(o) && o.view.store == Reach::works && store_.lost() && since_lost(o.store_at, store_)) return name;
+    return {};
 }
 
 std::optional<std::string> Membership::way_to(const std::string& zone) {
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -81,7 +81,7 @@
     const double since = held() ? std::max(tenancy_.until(), taken_at_) : taken_at_;
     if (later_.now() - since > unserved_leases * s_.lease_s) return end_term("the store has not answered for long", {});
     if (!held()) return;
-    if (const auto to = members_.served_instead(""); to)
+    if (const auto to = members_.served_instead(); to)
         end_term(fmt::format("the store serves {}, not this node", *to), {*to});
 }
 
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -59,6 +59,11 @@
     std::string party(const Worker& w) const {
         return deaf.contains(w.id) ? "deaf " + w.id : zone(w.zone);
     }
+    std::vector<std::string> names() const {
+        std::vector<std::string> out;
+        for (const auto& n : nodes) out.push_back(n.name);
+        return out;
+    }
     std::map<std::string, std::size_t> deaf; // to how many controllers
     std::set<std::string> misses_answers;    // to reports, while orders reach them
     // What it reports arrives; what these controllers answer or send it does not.
--- a/tests/test_day.cpp
+++ b/tests/test_day.cpp
@@ -122,11 +122,6 @@
         const auto it = term->state().machines.find(id);
         return it == term->state().machines.end() ? nullptr : it->second.get();
     }
-    std::vector<std::string> names() const {
-        std::vector<std::string> out;
-        for (const auto& n : nodes) out.push_back(n.name);
-        return out;
-    }
     std::vector<std::string> busy() const {
         std::vector<std::string> out;
         for (const auto& [id, w] : workers)
--- a/tests/test_meetings.cpp
+++ b/tests/test_meetings.cpp
@@ -167,12 +167,7 @@
         auto& w = f.workers[id];
         if (k == 0) w.cut = true;
         if (k == 1) w.hung = true;
-        if (k == 2)
-            f.deafen(id, [&] {
-                std::vector<std::string> all;
-                for (const auto& n : f.nodes) all.push_back(n.name);
-                return all;
-            }());
+        if (k == 2) f.deafen(id, f.names());
         if (k == 3) f.mute.insert(id);
     }
     f.send(for_s, [&f, list] {
