Logs and metrics say what waits for the store, what was written and what answers came from

Cause: the records of the incident could not tell a queue that never has its turn from transactions that were refused. Change: number and age of the records that wait, by kind, as gauges and in a line at most once a second while one is older than report_s; changes by prefix, transactions by outcome, and a line for those that were not applied; answers by source.

--- a/src/cluster/job.hpp
+++ b/src/cluster/job.hpp
@@ -73,6 +73,8 @@
     bool final_stored = false;
     /// The final state waits for its turn to be stored.
     bool final_queued = false;
+    /// When the final state was first due to be stored; below zero: it is not.
+    double final_due_at = -1;
     /// The job is within its team's guarantee.
     bool guaranteed = false;
     /// The final state was sent to the store, which may hold it and tell others before its answer comes.
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -118,6 +118,7 @@
     placement_.drain_noticed();
     placement_.find_slow();
     autoscaler_.watch_silent();
+    records_.log_late_records();
     cluster_.request_pass();
 }
 
@@ -203,6 +204,8 @@
         out.push_back({"heronshift_oldest_wait_seconds", help, wait_s, {{"class", name}}});
     for (const auto& [name, wait_s] : waits.by_team)
         out.push_back({"heronshift_oldest_wait_seconds", help, wait_s, {{"team", name}}});
+    for (auto& value : records_.metrics())
+        out.push_back(std::move(value));
     return out;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -267,8 +267,10 @@
     // An id that can't have been accepted needs no reading.
     if (!codec::valid_job_id(id))
         return no_such_job(res);
-    if (tell_final(id, res))
+    if (tell_final(id, res)) {
+        ++timings_.answers_from_cache;
         return;
+    }
     if (forwarded || host_.active_core() != nullptr)
         return poll(id, res);
     forward(std::make_shared<HttpRequest>(std::move(request)), res, alternatives(true, true), look_up_s,
@@ -277,15 +279,18 @@
 
 // The store's answer is as new as any: what was told was stored before.
 void Gateway::poll(const std::string& id, const Responder& res) {
-    if (const auto view = known_here(id); view)
+    if (const auto view = known_here(id); view) {
+        ++timings_.answers_from_memory;
         return res.send(http_status::ok, codec::job_answer(id, view->status, view->done, view->running));
-    look_up(id, [id, res](const LookupResult& found) {
+    }
+    look_up(id, [this, id, res](const LookupResult& found) {
         switch (found.acceptance) {
         case Acceptance::unanswered:
             return try_later(res);
         case Acceptance::never_accepted:
             return no_such_job(res);
         case Acceptance::accepted:
+            ++(found.status == codec::status_pending ? timings_.answers_from_jobs : timings_.answers_from_finals);
             return res.send(http_status::ok, codec::job_answer(id, found.status, 0, 0));
         }
     });
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -261,6 +261,15 @@
                       static_cast<double>(timings_.relayed_by_others)});
     values.push_back({"heronshift_requests_total", "from users and workers", static_cast<double>(timings_.requests)});
     values.push_back({"heronshift_refused_total", "requests sent away for now", static_cast<double>(timings_.refused)});
+    const std::pair<const char*, std::uint64_t> answers[] = {{"memory", timings_.answers_from_memory},
+                                                             {"remembered final state", timings_.answers_from_cache},
+                                                             {"final state", timings_.answers_from_finals},
+                                                             {"job record", timings_.answers_from_jobs}};
+    for (const auto& [source, count] : answers)
+        values.push_back({"heronshift_answers_total",
+                          "to questions about jobs, by what they were read from",
+                          static_cast<double>(count),
+                          {{"source", source}}});
     return metrics::text(values, {{"heronshift_submit_seconds", "to store a job and answer", &timings_.submit},
                                   {"heronshift_first_launch_seconds",
                                    "from when the holder knows a job to its first launch", &timings_.launch},
--- a/src/persistence/cluster_records.cpp
+++ b/src/persistence/cluster_records.cpp
@@ -31,8 +31,8 @@
     : cluster_(cluster), settings_(settings),
       effects_(out), limits_{static_cast<std::size_t>(settings.value_kb * bytes_a_kilobyte * record_share),
                              static_cast<std::size_t>(settings.txn_ops)},
-      kinds_(std::make_unique<Kinds>(cluster, settings, limits_, out)), write_budget_(settings.txn_ops),
-      write_budget_at_(cluster_.view().now) {
+      kinds_(std::make_unique<Kinds>(cluster, settings, limits_, out)), report_(settings.report_s),
+      write_budget_(settings.txn_ops), write_budget_at_(cluster_.view().now) {
     cluster_.set_persistence(*this);
     load(stored, wall);
 }
@@ -102,7 +102,9 @@
     transaction_open_ = true;
     sent_at_ = cluster_.view().now;
     write_budget_ -= static_cast<double>(transaction.writes()) + 1;
-    effects_.emplace_back(transaction.take());
+    auto commit = transaction.take();
+    report_.sent(commit, sent_at_);
+    effects_.emplace_back(std::move(commit));
 }
 
 void ClusterRecords::committed(const Committed& command) {
@@ -113,6 +115,8 @@
         cluster_.resign();
         return;
     }
+    if (auto line = report_.answered(command.outcome, cluster_.view().now))
+        cluster_.log(LogLine::Level::info, std::move(*line));
     const bool applied = command.outcome == TxnOutcome::applied;
     if (applied)
         ++committed_count_;
@@ -126,6 +130,25 @@
     kinds.finals.committed_removals(applied);
 }
 
+std::vector<persistence::Backlog> ClusterRecords::backlogs() const {
+    auto backlogs = kinds_->finals.backlog();
+    backlogs.push_back(kinds_->ready.backlog());
+    backlogs.push_back(kinds_->intents.backlog());
+    return backlogs;
+}
+
+void ClusterRecords::log_late_records() {
+    if (auto line = report_.late_records(backlogs(), cluster_.view().now))
+        cluster_.log(LogLine::Level::info, std::move(*line));
+}
+
+std::vector<metrics::Value> ClusterRecords::metrics() const {
+    auto values = report_.metrics();
+    for (auto& value : persistence::metrics_of(backlogs()))
+        values.push_back(std::move(value));
+    return values;
+}
+
 // The store takes less than the settings say: never as much again.
 void ClusterRecords::reduce_limits() {
     limits_.max_record_bytes = std::max(limits_.max_record_bytes / 2, min_record_bytes);
--- a/src/persistence/cluster_records.hpp
+++ b/src/persistence/cluster_records.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "cluster/cluster_state.hpp"
+#include "persistence/write_report.hpp"
 
 #include <memory>
 
@@ -52,6 +53,10 @@
     [[nodiscard]] bool late(double after_s) const {
         return transaction_open_ && cluster_.view().now - sent_at_ > after_s;
     }
+    /// Says in the log if records wait for the store for too long. To be called a few times a second.
+    void log_late_records();
+    /// What was written in this term and what waits to be.
+    [[nodiscard]] std::vector<metrics::Value> metrics() const;
     /// Transactions applied in this term.
     [[nodiscard]] std::uint64_t committed_count() const {
         return committed_count_;
@@ -81,6 +86,7 @@
     void load_earlier_job(const codec::Item& item);
     void settle_loaded_job(cluster::Job& job);
 
+    [[nodiscard]] std::vector<persistence::Backlog> backlogs() const;
     [[nodiscard]] double max_saved_writes() const;
     void refill_write_budget();
     void reduce_limits();
@@ -90,6 +96,7 @@
     std::vector<Effect>& effects_;
     StoreLimits limits_;
     std::unique_ptr<Kinds> kinds_;
+    persistence::WriteReport report_;
     bool transaction_open_ = false;
     double sent_at_ = 0; ///< The transaction in flight.
     double write_budget_, write_budget_at_;
--- a/src/persistence/final_states.cpp
+++ b/src/persistence/final_states.cpp
@@ -2,6 +2,7 @@
 
 #include "persistence/layout.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace heronshift {
@@ -24,6 +25,8 @@
     if (job.final_queued)
         return;
     job.final_queued = true;
+    if (job.final_due_at < 0)
+        job.final_due_at = cluster_.view().now;
     if (urgency == Urgency::cancelled_with_dependency)
         cancelled_with_dependency_.push_back(&job);
     else if (urgency == Urgency::cancelled)
@@ -32,6 +35,19 @@
         due_.push_back(&job);
 }
 
+std::vector<persistence::Backlog> ClusterRecords::FinalStates::backlog() const {
+    persistence::Backlog cancelled{"cancelled"}, done{"done"}, dependents{"cancelled_with_dependency"};
+    const auto count = [this](persistence::Backlog& backlog, const Job& job) {
+        ++backlog.count;
+        backlog.oldest_s = std::max(backlog.oldest_s, cluster_.view().now - job.final_due_at);
+    };
+    for (const auto* job : due_)
+        count(job->final == Final::cancelled ? cancelled : done, *job);
+    for (const auto* job : cancelled_with_dependency_)
+        count(dependents, *job);
+    return {cancelled, done, dependents};
+}
+
 // Intents must not starve: where a transaction takes few writes, they get some of every other one.
 bool ClusterRecords::FinalStates::must_leave_room(bool intents_wait) {
     const bool many = due_.size() + cancelled_with_dependency_.size() > many_due;
--- a/src/persistence/final_states.hpp
+++ b/src/persistence/final_states.hpp
@@ -3,6 +3,7 @@
 
 #include "persistence/cluster_records.hpp"
 
+#include "backlog.hpp"
 #include "ready_records.hpp"
 #include "transaction_builder.hpp"
 
@@ -27,6 +28,8 @@
     [[nodiscard]] bool dependents_wait() const {
         return !cancelled_with_dependency_.empty();
     }
+    /// What waits, by urgency.
+    [[nodiscard]] std::vector<persistence::Backlog> backlog() const;
     /// @param intents_wait whether intents are due: they get a share of the writes
     void collect(persistence::TransactionBuilder& transaction, bool intents_wait);
     /// The outcome for final states whose job still has tasks on machines.
--- a/src/persistence/intent_records.cpp
+++ b/src/persistence/intent_records.cpp
@@ -94,6 +94,13 @@
     put(entry, record);
 }
 
+persistence::Backlog ClusterRecords::IntentRecords::backlog() const {
+    persistence::Backlog backlog{"intents", unrecorded_.size(), 0};
+    for (const auto* entry : unrecorded_)
+        backlog.oldest_s = std::max(backlog.oldest_s, cluster_.view().now - entry->placed_at);
+    return backlog;
+}
+
 void ClusterRecords::IntentRecords::collect(persistence::TransactionBuilder& transaction) {
     if (unrecorded_.size() > few_unrecorded)
         order_by_urgency();
--- a/src/persistence/intent_records.hpp
+++ b/src/persistence/intent_records.hpp
@@ -4,6 +4,7 @@
 #include "persistence/cluster_records.hpp"
 #include "persistence/intents.hpp"
 
+#include "backlog.hpp"
 #include "obsolete_records.hpp"
 #include "transaction_builder.hpp"
 
@@ -29,6 +30,7 @@
     [[nodiscard]] bool waiting() const {
         return !unrecorded_.empty();
     }
+    [[nodiscard]] persistence::Backlog backlog() const;
     void collect(persistence::TransactionBuilder& transaction);
     void committed(bool applied);
     void forget_in_flight() {
--- a/src/persistence/ready_records.cpp
+++ b/src/persistence/ready_records.cpp
@@ -11,6 +11,11 @@
 
 } // namespace
 
+persistence::Backlog ClusterRecords::ReadyRecords::backlog() const {
+    const double now = cluster_.view().now;
+    return {"ready", jobs_.size(), jobs_.empty() ? 0 : now - jobs_.front()->ready};
+}
+
 void ClusterRecords::ReadyRecords::collect(persistence::TransactionBuilder& transaction) {
     const auto& data = cluster_.view();
     while (!jobs_.empty() && !transaction.full(1)) {
--- a/src/persistence/ready_records.hpp
+++ b/src/persistence/ready_records.hpp
@@ -3,6 +3,7 @@
 
 #include "persistence/cluster_records.hpp"
 
+#include "backlog.hpp"
 #include "transaction_builder.hpp"
 
 #include <deque>
@@ -26,6 +27,7 @@
     [[nodiscard]] bool waiting() const {
         return !jobs_.empty();
     }
+    [[nodiscard]] persistence::Backlog backlog() const;
     void collect(persistence::TransactionBuilder& transaction);
     void committed(bool applied);
     void forget_in_flight() {
