Jobs cancelled with their dependency are stored in one write once they have waited

Cause: a check in one order only: their final states had what all others left of a transaction, and their time counts from when the user was told of the first cancellation, not from their turn. While jobs end as fast as the store takes them none was written, under any leader. Change: those that have waited for report_s, or may have waited in an earlier term, are named in a cascade record (x/N), hundreds in one write, before all else. Every controller answers from it and a new leader reads it; their own records follow when there is room. Refused final states keep their places, and cancellations that users wait for are stored in the order in which they came.

--- a/src/cluster/job.hpp
+++ b/src/cluster/job.hpp
@@ -69,8 +69,10 @@
     std::vector<PropagateConst<Entry*>> entries;
     std::uint32_t done = 0, live = 0, running = 0;
     Final final = Final::none;
-    /// The store holds the final state.
+    /// The store holds the final state, in a record of its own or in a cascade record.
     bool final_stored = false;
+    /// The number of the cascade record that holds it until its own record is written; -1: none does.
+    int cascade_record = -1;
     /// The final state waits for its turn to be stored.
     bool final_queued = false;
     /// When the final state was first due to be stored; below zero: it is not.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "http_status.hpp"
 #include "memory_share.hpp"
 #include "persistence/layout.hpp"
+#include "persistence/stored_records.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -13,8 +14,10 @@
 
 using codec::error_answer;
 using codec::not_now;
+using persistence::cascade_prefix;
 using persistence::final_key;
 using persistence::job_key;
+using persistence::max_cascade_records;
 
 // Look-ups under way: those that the budget of reads lets begin while one waits for its three reads in vain. So the
 // budget binds first, and the same happens then: 503 with Retry-After.
@@ -235,10 +238,33 @@
         if (answer.status != http_status::not_found && !answer.item)
             return end_lookup(lookup);
         lookup->result.job = std::move(answer.item);
-        read_last(lookup);
+        const auto& record = lookup->result.job;
+        const auto job = record ? codec::stored_job(record->value, 0) : std::nullopt;
+        const bool may_wait = record && (!job || job->waits);
+        may_wait ? read_cascades(lookup) : read_last(lookup);
     });
 }
 
+// A job that waits for others may be cancelled with them before it has a final state of its own. It leaves its cascade
+// record only after that is stored, so this comes before the last read (invariant 15).
+void Gateway::read_cascades(const OpenLookup& lookup) {
+    reads_.spend(timers_.now(), 1);
+    store_.list(std::string(cascade_prefix), "", max_cascade_records, settings_.report_s / 3,
+                [this, lookup](const store::Answer& answer) {
+                    if (answer.status != http_status::ok || answer.more)
+                        return end_lookup(lookup);
+                    const bool cancelled =
+                        std::any_of(answer.items.begin(), answer.items.end(), [&](const codec::Item& item) {
+                            return contains(persistence::decode_cascade(item.value), lookup->id);
+                        });
+                    if (!cancelled)
+                        return read_last(lookup);
+                    lookup->result.accepted_as(codec::status_cancelled);
+                    lookup->result.cascaded = true;
+                    end_lookup(lookup);
+                });
+}
+
 void Gateway::read_last(const OpenLookup& lookup) {
     store_.get(final_key(lookup->id), settings_.report_s / 3, [this, lookup](const store::Answer& answer) {
         auto& result = lookup->result;
@@ -290,7 +316,9 @@
         case Acceptance::never_accepted:
             return no_such_job(res);
         case Acceptance::accepted:
-            ++(found.status == codec::status_pending ? timings_.answers_from_jobs : timings_.answers_from_finals);
+            ++(found.cascaded                          ? timings_.answers_from_cascades
+               : found.status == codec::status_pending ? timings_.answers_from_jobs
+                                                       : timings_.answers_from_finals);
             return res.send(http_status::ok, codec::job_answer(id, found.status, 0, 0));
         }
     });
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -67,6 +67,7 @@
         Acceptance acceptance = Acceptance::unanswered;
         std::string status;             // if accepted, as users are told it
         bool service = false;           // if its final state says so
+        bool cascaded = false;          // a cascade record says that it is cancelled
         std::optional<codec::Item> job; // its record, as far as it was read
         void accepted_as(std::string_view known_status);
     };
@@ -117,6 +118,7 @@
     [[nodiscard]] static FinalState read_final(const store::Answer& answer, LookupResult& result);
     void read_first(const OpenLookup& lookup);
     void read_record(const OpenLookup& lookup);
+    void read_cascades(const OpenLookup& lookup);
     void read_last(const OpenLookup& lookup);
     void end_lookup(const OpenLookup& lookup);
 
--- a/src/leadership/state_loader.cpp
+++ b/src/leadership/state_loader.cpp
@@ -24,6 +24,7 @@
         {persistence::previous_progress_prefix, &stored_.progress},
         {persistence::progress_prefix, &stored_.progress},
         {persistence::image_prefix, &stored_.images},
+        {persistence::cascade_prefix, &stored_.cascades},
         {persistence::learned_prefix, &stored_.learned},
         {persistence::earlier_machine_prefix, &stored_.earlier},
         {persistence::earlier_job_prefix, &stored_.earlier},
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -264,6 +264,7 @@
     const std::pair<const char*, std::uint64_t> answers[] = {{"memory", timings_.answers_from_memory},
                                                              {"remembered final state", timings_.answers_from_cache},
                                                              {"final state", timings_.answers_from_finals},
+                                                             {"cascade record", timings_.answers_from_cascades},
                                                              {"job record", timings_.answers_from_jobs}};
     for (const auto& [source, count] : answers)
         values.push_back({"heronshift_answers_total",
--- /dev/null
+++ b/src/persistence/cascade_records.cpp
@@ -0,0 +1,159 @@
+#include "cascade_records.hpp"
+
+#include "persistence/layout.hpp"
+
+#include "final_states.hpp"
+#include "stored_records.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace heronshift {
+
+using cluster::Final;
+using cluster::Job;
+using persistence::max_cascade_records;
+
+namespace {
+
+constexpr std::size_t bytes_around_id = 3, bytes_around_ids = 20;
+
+std::size_t size_of(const Job& job) {
+    return job.spec.id.size() + bytes_around_id;
+}
+
+std::size_t size_of(const std::vector<Job*>& jobs) {
+    auto size = bytes_around_ids;
+    for (const auto* job : jobs)
+        size += size_of(*job);
+    return size;
+}
+
+} // namespace
+
+bool ClusterRecords::CascadeRecords::overdue(const FinalStates& finals) const {
+    const auto* oldest = finals.oldest_dependent();
+    if (oldest == nullptr)
+        return false;
+    const auto& data = cluster_.view();
+    const bool waited_in_earlier_term = oldest->submitted < data.started; // maybe, and nobody knows for how long
+    return waited_in_earlier_term || data.now - oldest->final_due_at >= settings_.report_s;
+}
+
+// The one with the fewest jobs, or a new one where that is half full: what a record holds already is written again.
+std::optional<std::size_t> ClusterRecords::CascadeRecords::record_with_room() {
+    const auto least = std::min_element(records_.begin(), records_.end(),
+                                        [](const Record& a, const Record& b) { return a.jobs.size() < b.jobs.size(); });
+    const auto room = limits_.max_record_bytes;
+    if (least != records_.end() && size_of(least->jobs) <= room / 2)
+        return static_cast<std::size_t>(least - records_.begin());
+    if (records_.size() >= max_cascade_records)
+        return {};
+    records_.emplace_back();
+    return records_.size() - 1;
+}
+
+void ClusterRecords::CascadeRecords::collect(persistence::TransactionBuilder& transaction, FinalStates& finals) {
+    if (!overdue(finals) || transaction.full(1))
+        return;
+    const auto number = record_with_room();
+    if (!number)
+        return;
+    auto size = size_of(records_[*number].jobs);
+    for (auto* job = finals.oldest_dependent(); job != nullptr; job = finals.oldest_dependent()) {
+        if (size + size_of(*job) > limits_.max_record_bytes)
+            break;
+        size += size_of(*job);
+        in_flight_.jobs.push_back(&finals.take_dependent());
+    }
+    write(transaction, *number, size);
+}
+
+void ClusterRecords::CascadeRecords::write(persistence::TransactionBuilder& transaction, std::size_t number,
+                                           std::size_t size) {
+    std::vector<std::string> ids;
+    for (const auto* jobs : {&records_[number].jobs, &in_flight_.jobs})
+        for (const auto* job : *jobs)
+            ids.push_back(job->spec.id);
+    transaction.put(persistence::cascade_key(number), persistence::encode_cascade(ids), size);
+    in_flight_.written = number;
+}
+
+void ClusterRecords::CascadeRecords::collect_empty(persistence::TransactionBuilder& transaction) {
+    if (transaction.full(1))
+        return;
+    for (std::size_t number = 0; number < records_.size(); ++number) {
+        const auto& record = records_[number];
+        if (!record.stored || !record.jobs.empty() || in_flight_.written == number)
+            continue;
+        transaction.erase(persistence::cascade_key(number));
+        in_flight_.removed = number;
+        return;
+    }
+}
+
+bool ClusterRecords::CascadeRecords::filling_up() const {
+    const auto used =
+        std::count_if(records_.begin(), records_.end(), [](const Record& record) { return !record.jobs.empty(); });
+    return static_cast<std::size_t>(used) > max_cascade_records / 2;
+}
+
+void ClusterRecords::CascadeRecords::committed(bool applied, FinalStates& finals) {
+    auto was = std::exchange(in_flight_, {});
+    if (!applied) {
+        for (auto job = was.jobs.rbegin(); job != was.jobs.rend(); ++job)
+            finals.give_back_dependent(**job);
+        return;
+    }
+    if (was.removed)
+        records_[*was.removed].stored = false;
+    if (!was.written)
+        return;
+    auto& record = records_[*was.written];
+    record.stored = true;
+    double longest_s = 0;
+    for (auto* job : was.jobs) {
+        longest_s = std::max(longest_s, cluster_.view().now - job->final_due_at);
+        job->cascade_record = static_cast<int>(*was.written);
+        record.jobs.push_back(job);
+        finals.stored_in_cascade(*job);
+    }
+    cluster_.log(
+        LogLine::Level::info,
+        fmt::format("{} jobs cancelled with their dependency are stored in a cascade record, the oldest {:.1f} s "
+                    "after it was due",
+                    was.jobs.size(), longest_s));
+}
+
+void ClusterRecords::CascadeRecords::forget(Job& job) {
+    if (job.cascade_record < 0)
+        return;
+    std::erase(records_[static_cast<std::size_t>(std::exchange(job.cascade_record, -1))].jobs, &job);
+}
+
+void ClusterRecords::CascadeRecords::load(const std::vector<codec::Item>& items, FinalStates& finals) {
+    for (const auto& item : items)
+        if (const auto number = persistence::record_number(item.key); number)
+            load_record(*number, item, finals);
+}
+
+void ClusterRecords::CascadeRecords::load_record(std::size_t number, const codec::Item& item, FinalStates& finals) {
+    if (number >= records_.size())
+        records_.resize(number + 1);
+    records_[number].stored = true;
+    auto& jobs = records_[number].jobs;
+    for (const auto& id : persistence::decode_cascade(item.value)) {
+        auto* job = cluster_.find_job(id);
+        if (job == nullptr || job->final_stored)
+            continue; // its own final state is stored
+        job->final = Final::cancelled;
+        job->final_stored = true;
+        job->cascade_record = static_cast<int>(number);
+        jobs.push_back(job);
+    }
+    for (auto* job : jobs) // once all are known to be over, so that none is cancelled again with another
+        finals.stored_in_cascade(*job);
+}
+
+} // namespace heronshift
--- a/src/persistence/cluster_records.cpp
+++ b/src/persistence/cluster_records.cpp
@@ -90,10 +90,12 @@
     persistence::TransactionBuilder transaction(std::min(limits_.max_writes, static_cast<std::size_t>(write_budget_)) -
                                                 1);
     auto& kinds = *kinds_;
+    kinds.cascades.collect(transaction, kinds.finals);
     kinds.finals.collect(transaction, kinds.intents.waiting());
     kinds.ready.collect(transaction);
     kinds.intents.collect(transaction);
     kinds.obsolete.collect(transaction);
+    kinds.cascades.collect_empty(transaction);
     kinds.progress.collect(transaction);
     kinds.images.collect(transaction);
     kinds.learned.collect(transaction);
@@ -122,6 +124,7 @@
         ++committed_count_;
     if (command.outcome == TxnOutcome::too_large)
         reduce_limits();
+    kinds.cascades.committed(applied, kinds.finals);
     kinds.finals.committed(applied);
     kinds.ready.committed(applied);
     kinds.progress.committed(applied);
--- a/src/persistence/cluster_records.hpp
+++ b/src/persistence/cluster_records.hpp
@@ -16,14 +16,15 @@
 /// What the store holds at a failover: the items below each prefix of the layout, in the order of their keys.
 struct Snapshot {
     std::vector<codec::Item> jobs, intents, progress, images, learned;
+    std::vector<codec::Item> cascades;
     std::vector<codec::Item> earlier; ///< Of the earliest layout: a record for each machine and each job.
 };
 
 /// Sequences the record kinds: collects their writes into transactions and tells each the outcome.
 ///
 /// Belongs to the thread of the core. It alone writes the members of cluster::Job and cluster::Entry that say where
-/// they are recorded (slot, at_slot, carried_from, recorded, bucket, ready_recorded, final_queued, final_sent,
-/// final_stored).
+/// they are recorded (slot, at_slot, carried_from, recorded, bucket, ready_recorded, final_queued, final_due_at,
+/// final_sent, final_stored, cascade_record).
 class ClusterRecords final : public cluster::PersistenceListener {
 public:
     /// Enters what the store holds into the cluster state.
@@ -64,6 +65,7 @@
 
 private:
     // One class for each record kind. They are nested, since ClusterState admits this class as its friend.
+    class CascadeRecords;
     class FinalStates;
     class ReadyRecords;
     class IntentRecords;
--- a/src/persistence/final_states.cpp
+++ b/src/persistence/final_states.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::size_t many_due = 8; // more than these may take a whole transaction
 constexpr std::size_t final_record_bytes = 40, job_record_bytes = 300;
+// Nobody waits for the own records of jobs that a cascade record names. Once the cascade records fill up, one of so
+// many final states is of these, so that there is room for the next ones however long a rush lasts.
+constexpr std::size_t cascaded_share = 4;
 
 const char* status_of(const Job& job) {
     return job.final == Final::done ? codec::status_done.data() : codec::status_cancelled.data();
@@ -24,106 +27,125 @@
 void ClusterRecords::FinalStates::due(Job& job, Urgency urgency) {
     if (job.final_queued)
         return;
-    job.final_queued = true;
     if (job.final_due_at < 0)
         job.final_due_at = cluster_.view().now;
-    if (urgency == Urgency::cancelled_with_dependency)
-        cancelled_with_dependency_.push_back(&job);
-    else if (urgency == Urgency::cancelled)
-        due_.push_front(&job);
-    else
-        due_.push_back(&job);
+    push(urgency == Urgency::cancelled                   ? cancelled_
+         : urgency == Urgency::cancelled_with_dependency ? dependents_
+                                                         : done_,
+         job);
+}
+
+void ClusterRecords::FinalStates::push(Queue& queue, Job& job) {
+    job.final_queued = true;
+    queue.push_back(&job);
+}
+
+persistence::Backlog ClusterRecords::FinalStates::backlog_of(const char* kind, const Queue& queue) const {
+    return {kind, queue.size(), queue.empty() ? 0 : cluster_.view().now - queue.front()->final_due_at};
 }
 
 std::vector<persistence::Backlog> ClusterRecords::FinalStates::backlog() const {
-    persistence::Backlog cancelled{"cancelled"}, done{"done"}, dependents{"cancelled_with_dependency"};
-    const auto count = [this](persistence::Backlog& backlog, const Job& job) {
-        ++backlog.count;
-        backlog.oldest_s = std::max(backlog.oldest_s, cluster_.view().now - job.final_due_at);
-    };
-    for (const auto* job : due_)
-        count(job->final == Final::cancelled ? cancelled : done, *job);
-    for (const auto* job : cancelled_with_dependency_)
-        count(dependents, *job);
-    return {cancelled, done, dependents};
+    return {backlog_of("cancelled", cancelled_), backlog_of("done", done_),
+            backlog_of("cancelled_with_dependency", dependents_), backlog_of("in_cascade_record", cascaded_)};
 }
 
 // Intents must not starve: where a transaction takes few writes, they get some of every other one.
 bool ClusterRecords::FinalStates::must_leave_room(bool intents_wait) {
-    const bool many = due_.size() + cancelled_with_dependency_.size() > many_due;
+    const bool many = cancelled_.size() + done_.size() + dependents_.size() + cascaded_.size() > many_due;
     const bool leave_room = intents_wait && (left_no_room_ || !many);
     left_no_room_ = !leave_room;
     return leave_room;
 }
 
-Job& ClusterRecords::FinalStates::next() {
-    auto& queue = due_.empty() ? cancelled_with_dependency_ : due_;
-    auto* job = queue.front();
-    queue.pop_front();
-    job->final_queued = false;
-    return *job;
+ClusterRecords::FinalStates::Queue& ClusterRecords::FinalStates::next_queue() {
+    const bool cascaded_turn = since_cascaded_ + 1 >= cascaded_share && cascades_.filling_up();
+    for (auto* queue : {&cancelled_, &done_, &dependents_})
+        if (!queue->empty() && !cascaded_turn)
+            return *queue;
+    return cascaded_;
 }
 
 void ClusterRecords::FinalStates::collect(persistence::TransactionBuilder& transaction, bool intents_wait) {
     constexpr std::size_t writes_of_one = 2;
     const std::size_t room = writes_of_one + (must_leave_room(intents_wait) ? 1 : 0);
     while (waiting() && !transaction.full(room))
-        write(transaction, next());
+        write_next(transaction);
 }
 
-void ClusterRecords::FinalStates::write(persistence::TransactionBuilder& transaction, Job& job) {
-    const auto* status = status_of(job);
+void ClusterRecords::FinalStates::write_next(persistence::TransactionBuilder& transaction) {
+    auto& queue = next_queue();
+    since_cascaded_ = &queue == &cascaded_ ? 0 : since_cascaded_ + 1;
+    auto& job = *queue.front();
+    queue.pop_front();
+    job.final_queued = false;
     job.final_sent = true;
-    if (!job.final_stored)
-        transaction.put(persistence::final_key(job.spec.id), codec::final_record(status, job.spec.shape),
-                        final_record_bytes);
+    const bool own_record_stored = job.final_stored && job.cascade_record < 0;
+    if (!own_record_stored)
+        put_final_record(transaction, job);
     if (job.live == 0) {
         transaction.erase(persistence::job_key(job.spec.id));
-        removed_in_flight_.push_back(&job);
-        return;
+        removed_in_flight_.push_back({&job, &queue});
+    } else if (!own_record_stored) {
+        put_job_record(transaction, job);
+        named_in_flight_.push_back({&job, &queue});
     }
-    if (job.final_stored)
-        return;
+}
+
+void ClusterRecords::FinalStates::put_final_record(persistence::TransactionBuilder& transaction, const Job& job) {
+    transaction.put(persistence::final_key(job.spec.id), codec::final_record(status_of(job), job.spec.shape),
+                    final_record_bytes);
+}
+
+void ClusterRecords::FinalStates::put_job_record(persistence::TransactionBuilder& transaction, const Job& job) {
     const auto& data = cluster_.view();
     codec::StoredJob record;
     record.spec = codec::remains_of(job.spec);
     record.at = data.wall - (data.now - job.submitted);
-    record.final = status;
+    record.final = status_of(job);
     transaction.put(persistence::job_key(job.spec.id), codec::to_record(record), job_record_bytes);
-    named_in_flight_.push_back(&job);
 }
 
 void ClusterRecords::FinalStates::committed(bool applied) {
-    for (auto* job : std::exchange(named_in_flight_, {})) {
-        if (!applied) {
-            retry(*job);
-            continue;
-        }
-        stored(*job);
-        if (job->live == 0)
-            due(*job, Urgency::done);
+    const auto in_flight = std::exchange(named_in_flight_, {});
+    if (!applied)
+        return retry(in_flight);
+    for (const auto& sent : in_flight) {
+        cascades_.forget(*sent.job);
+        stored(*sent.job);
+        if (sent.job->live == 0)
+            due(*sent.job, Urgency::done);
     }
 }
 
 void ClusterRecords::FinalStates::committed_removals(bool applied) {
-    for (auto* job : std::exchange(removed_in_flight_, {})) {
-        if (!applied) {
-            retry(*job);
-            continue;
-        }
-        stored(*job);
-        forget_job(*job);
+    const auto in_flight = std::exchange(removed_in_flight_, {});
+    if (!applied)
+        return retry(in_flight);
+    for (const auto& sent : in_flight) {
+        cascades_.forget(*sent.job);
+        stored(*sent.job);
+        forget_job(*sent.job);
     }
 }
 
-void ClusterRecords::FinalStates::retry(Job& job) {
+// In the places that they had: a user who has waited through a refusal is not put behind all others.
+void ClusterRecords::FinalStates::retry(const std::vector<InFlight>& refused) {
+    for (auto sent = refused.rbegin(); sent != refused.rend(); ++sent)
+        put_back(*sent->job, *sent->queue);
+}
+
+void ClusterRecords::FinalStates::put_back(Job& job, Queue& queue) {
     job.final_sent = false; // surely not carried out
-    due(job, Urgency::done);
+    if (job.final_queued)   // meanwhile none of its tasks is left
+        std::erase(done_, &job);
+    job.final_queued = true;
+    queue.push_front(&job);
 }
 
 // The final state may now be told.
 void ClusterRecords::FinalStates::stored(Job& job) {
     job.final_stored = true;
+    job.final_due_at = -1;
     for (const auto request : job.cancels)
         effects_.emplace_back(AnswerCancellation{request, status_of(job)});
     job.cancels.clear();
@@ -135,10 +157,31 @@
     cluster_.remember_final(job);
     if (job.live > 0)
         return; // a task has shown up on a machine meanwhile: it is stopped first
-    std::erase(due_, &job);
-    std::erase(cancelled_with_dependency_, &job);
+    if (job.final_queued)
+        for (auto* queue : {&cancelled_, &done_, &dependents_, &cascaded_})
+            std::erase(*queue, &job);
     ready_.forget(job);
     cluster_.forget_job(job);
 }
 
+Job& ClusterRecords::FinalStates::take_dependent() {
+    auto& job = *dependents_.front();
+    dependents_.pop_front();
+    job.final_queued = false;
+    job.final_sent = true;
+    return job;
+}
+
+void ClusterRecords::FinalStates::give_back_dependent(Job& job) {
+    put_back(job, dependents_);
+}
+
+void ClusterRecords::FinalStates::stored_in_cascade(Job& job) {
+    if (job.final_queued)
+        std::erase(dependents_, &job);
+    stored(job);
+    job.final_due_at = cluster_.view().now;
+    push(cascaded_, job);
+}
+
 } // namespace heronshift
--- a/src/persistence/final_states.hpp
+++ b/src/persistence/final_states.hpp
@@ -4,9 +4,11 @@
 #include "persistence/cluster_records.hpp"
 
 #include "backlog.hpp"
+#include "cascade_records.hpp"
 #include "ready_records.hpp"
 #include "transaction_builder.hpp"
 
+#include <cstddef>
 #include <deque>
 #include <vector>
 
@@ -14,21 +16,25 @@
 
 /// A final state is told only once it is stored (invariant 10). The job's record is removed when none of its tasks is
 /// left on any machine; until then it names the final state, so that no later leader starts any of them.
+///
+/// What users wait for goes first, then jobs that are done, then those that were cancelled with a job that they need;
+/// each kind in the order in which they came. The last of these do not depend on their turn: see CascadeRecords.
 class ClusterRecords::FinalStates {
 public:
-    FinalStates(cluster::ClusterState& cluster, std::vector<Effect>& effects, ReadyRecords& ready)
-        : cluster_(cluster), effects_(effects), ready_(ready) {}
+    FinalStates(cluster::ClusterState& cluster, std::vector<Effect>& effects, ReadyRecords& ready,
+                CascadeRecords& cascades)
+        : cluster_(cluster), effects_(effects), ready_(ready), cascades_(cascades) {}
 
     /// The job has a new final state, or none of its tasks is left.
     void due(cluster::Job& job, Urgency urgency);
     [[nodiscard]] bool waiting() const {
-        return !due_.empty() || dependents_wait();
+        return !cancelled_.empty() || !done_.empty() || dependents_wait();
     }
     /// Whether jobs wait that were cancelled since they depend on a cancelled one.
     [[nodiscard]] bool dependents_wait() const {
-        return !cancelled_with_dependency_.empty();
+        return !dependents_.empty() || !cascaded_.empty();
     }
-    /// What waits, by urgency.
+    /// What waits, by kind.
     [[nodiscard]] std::vector<persistence::Backlog> backlog() const;
     /// @param intents_wait whether intents are due: they get a share of the writes
     void collect(persistence::TransactionBuilder& transaction, bool intents_wait);
@@ -42,22 +48,48 @@
         removed_in_flight_.clear();
     }
 
+    // For CascadeRecords.
+
+    /// The job that has waited longest of those cancelled with a dependency and stored nowhere; null: there is none.
+    [[nodiscard]] const cluster::Job* oldest_dependent() const {
+        return dependents_.empty() ? nullptr : dependents_.front();
+    }
+    /// Takes that job out of its queue: its final state is on its way to the store in a cascade record.
+    cluster::Job& take_dependent();
+    /// It was not stored. In the reverse order of taking them.
+    void give_back_dependent(cluster::Job& job);
+    /// A cascade record in the store names the job: it may be told, and its own records follow when there is room.
+    void stored_in_cascade(cluster::Job& job);
+
 private:
+    using Queue = std::deque<cluster::Job*>;
+    struct InFlight {
+        cluster::Job* job;
+        Queue* queue; // that it came from
+    };
+
     bool must_leave_room(bool intents_wait);
-    cluster::Job& next();
-    void write(persistence::TransactionBuilder& transaction, cluster::Job& job);
-    void retry(cluster::Job& job);
+    Queue& next_queue();
+    [[nodiscard]] persistence::Backlog backlog_of(const char* kind, const Queue& queue) const;
+    void push(Queue& queue, cluster::Job& job);
+    void write_next(persistence::TransactionBuilder& transaction);
+    void put_final_record(persistence::TransactionBuilder& transaction, const cluster::Job& job);
+    void put_job_record(persistence::TransactionBuilder& transaction, const cluster::Job& job);
+    void retry(const std::vector<InFlight>& refused);
+    void put_back(cluster::Job& job, Queue& queue);
     void stored(cluster::Job& job);
     void forget_job(cluster::Job& job);
 
     cluster::ClusterState& cluster_;
     std::vector<Effect>& effects_;
     ReadyRecords& ready_;
-    std::deque<cluster::Job*> due_;
-    std::deque<cluster::Job*> cancelled_with_dependency_; // maybe hundreds at once, so after all others
-    bool left_no_room_ = false;                           // the last transaction had none for intents
+    CascadeRecords& cascades_;
+    Queue cancelled_, done_, dependents_;
+    Queue cascaded_;                 // stored in a cascade record
+    std::size_t since_cascaded_ = 0; // final states written since one of those
+    bool left_no_room_ = false;      // the last transaction had none for intents
     // In flight: jobs whose record names the final state, and jobs whose record is removed.
-    std::vector<cluster::Job*> named_in_flight_, removed_in_flight_;
+    std::vector<InFlight> named_in_flight_, removed_in_flight_;
 };
 
 } // namespace heronshift
--- a/src/persistence/layout.hpp
+++ b/src/persistence/layout.hpp
@@ -15,12 +15,15 @@
 /// | q/     | q/0 to q/63   | the done tasks of a share of the jobs                | the leader                       |
 /// | c/     | c/NUMBER      | which images a share of the machines holds (a hint)  | the leader                       |
 /// | l/     | l/0           | rates that a leader has measured (a hint)            | the leader                       |
+/// | x/     | x/0 to x/31   | jobs cancelled with a job that they need, whose own  | the leader                       |
+/// |        |               | f/JOB is not written yet                             |                                  |
 /// | p/     | p/0 to p/15   | as q/, fewer and longer records                      | versions before q/; only read    |
 /// | m/     | m/MACHINE     | which tasks may be on this machine                   | versions before i/; read, then   |
 /// | d/     | d/JOB         | the done tasks of a job and its final state          | removed                          |
 ///
 /// Since which version: all of j/, f/, i/, q/, c/ and l/ are in 0.1.0, the only numbered version so far. Within it,
-/// i/ and p/ replaced m/ and d/, then q/ replaced p/ when jobs got dependencies; l/ came later and may be missing.
+/// i/ and p/ replaced m/ and d/, then q/ replaced p/ when jobs got dependencies; l/ came later and may be missing, and
+/// so did x/.
 #pragma once
 
 #include <cstddef>
@@ -36,6 +39,7 @@
 inline constexpr std::string_view progress_prefix = "q/";
 inline constexpr std::string_view image_prefix = "c/";
 inline constexpr std::string_view learned_prefix = "l/";
+inline constexpr std::string_view cascade_prefix = "x/";
 inline constexpr std::string_view previous_progress_prefix = "p/"; ///< Read only.
 inline constexpr std::string_view earlier_machine_prefix = "m/";   ///< Read, then removed.
 inline constexpr std::string_view earlier_job_prefix = "d/";       ///< Read, then removed.
@@ -43,6 +47,9 @@
 inline constexpr std::size_t first_intent_records = 32; ///< More are added when these fill up.
 inline constexpr std::size_t progress_records = 64;     ///< Fixed: jobs are spread over them by a hash.
 
+/// So few that all of them are read in one call, which gives 512 KiB at most.
+inline constexpr std::size_t max_cascade_records = 32;
+
 [[nodiscard]] inline std::string record_key(std::string_view prefix, std::string_view name) {
     std::string key(prefix);
     key += name;
@@ -63,11 +70,14 @@
 [[nodiscard]] inline std::string image_key(std::size_t number) {
     return record_key(image_prefix, std::to_string(number));
 }
+[[nodiscard]] inline std::string cascade_key(std::size_t number) {
+    return record_key(cascade_prefix, std::to_string(number));
+}
 [[nodiscard]] inline std::string learned_key() {
     return record_key(learned_prefix, "0");
 }
 
-/// The number in the key of an intent or image record. Empty if there is none, or one so large that no
+/// The number in the key of an intent, image or cascade record. Empty if there is none, or one so large that no
 /// leader wrote it.
 [[nodiscard]] std::optional<std::size_t> record_number(const std::string& key);
 
--- a/src/persistence/load.cpp
+++ b/src/persistence/load.cpp
@@ -34,6 +34,7 @@
 void ClusterRecords::load(const Snapshot& stored, double wall) {
     auto& kinds = *kinds_;
     load_jobs(stored.jobs, wall);
+    kinds.cascades.load(stored.cascades, kinds.finals);
     kinds.images.load(stored.images);
     kinds.progress.load(stored.progress);
     kinds.intents.load(stored.intents);
--- a/src/persistence/record_kinds.hpp
+++ b/src/persistence/record_kinds.hpp
@@ -1,6 +1,7 @@
 /// All record kinds of the cluster, together.
 #pragma once
 
+#include "cascade_records.hpp"
 #include "final_states.hpp"
 #include "image_hints.hpp"
 #include "intent_records.hpp"
@@ -16,12 +17,13 @@
 struct ClusterRecords::Kinds {
     Kinds(cluster::ClusterState& cluster, const Settings& settings, const StoreLimits& limits,
           std::vector<Effect>& effects)
-        : ready(cluster), finals(cluster, effects, ready), intents(cluster, settings, limits, obsolete),
-          progress(cluster, settings, limits), images(cluster, settings, limits, obsolete),
-          learned(cluster, settings, limits) {}
+        : ready(cluster), cascades(cluster, settings, limits), finals(cluster, effects, ready, cascades),
+          intents(cluster, settings, limits, obsolete), progress(cluster, settings, limits),
+          images(cluster, settings, limits, obsolete), learned(cluster, settings, limits) {}
 
     void forget_in_flight() {
         ready.forget_in_flight();
+        cascades.forget_in_flight();
         finals.forget_in_flight();
         obsolete.forget_in_flight();
         intents.forget_in_flight();
@@ -29,6 +31,7 @@
     }
 
     ReadyRecords ready;
+    CascadeRecords cascades;
     FinalStates finals;
     ObsoleteRecords obsolete;
     IntentRecords intents;
--- a/src/persistence/stored_records.cpp
+++ b/src/persistence/stored_records.cpp
@@ -20,6 +20,7 @@
 
 // Names of fields: stored data, never to be changed.
 constexpr const char* field_intents = "t";
+constexpr const char* field_cancelled = "cancelled";
 constexpr const char* field_image_names = "names";
 constexpr const char* field_images_held = "held";
 constexpr const char* field_written_at = "at";
@@ -108,6 +109,20 @@
     return out;
 }
 
+Json encode_cascade(const std::vector<std::string>& jobs) {
+    return Json{{field_cancelled, jobs}};
+}
+
+std::vector<std::string> decode_cascade(const Json& value) {
+    std::vector<std::string> jobs;
+    if (!value.is_object() || !value.contains(field_cancelled) || !value[field_cancelled].is_array())
+        return jobs;
+    for (const auto& job : value[field_cancelled])
+        if (job.is_string())
+            jobs.push_back(job.get<std::string>());
+    return jobs;
+}
+
 Json encode_images(const ImageRecord& record) {
     auto names = Json::array();
     for (const auto& image : record.images)
--- a/src/persistence/stored_records.hpp
+++ b/src/persistence/stored_records.hpp
@@ -37,6 +37,11 @@
 /// is lost is only run again.
 [[nodiscard]] std::vector<JobProgress> decode_progress(const codec::Json& value);
 
+/// x/NUMBER: the ids of jobs that are cancelled since a job that they need is.
+[[nodiscard]] codec::Json encode_cascade(const std::vector<std::string>& jobs);
+/// Leaves out what is no string; a malformed record names nobody.
+[[nodiscard]] std::vector<std::string> decode_cascade(const codec::Json& value);
+
 /// c/NUMBER: which images some machines hold.
 struct ImageRecord {
     struct Image {
--- a/src/replay/log_fields.hpp
+++ b/src/replay/log_fields.hpp
@@ -19,10 +19,14 @@
 template <class T, class Member> struct LogField {
     const char* key;
     Member T::*member;
+    bool may_be_missing = false; ///< In logs of earlier builds, which did not know it.
 };
 template <class T, class Member> constexpr LogField<T, Member> field(const char* key, Member T::*member) {
     return {key, member};
 }
+template <class T, class Member> constexpr LogField<T, Member> later_field(const char* key, Member T::*member) {
+    return {key, member, true};
+}
 
 /// Specialised for every type that occurs in a log: a tuple of its fields.
 template <class T> inline constexpr std::nullptr_t log_fields = nullptr;
@@ -141,10 +145,13 @@
                                                         field("fd_limit", &Settings::fd_limit),
                                                         field("ops", &Settings::ops)};
 template <>
-inline constexpr auto log_fields<Snapshot> =
-    std::tuple{field("jobs", &Snapshot::jobs),         field("intents", &Snapshot::intents),
-               field("progress", &Snapshot::progress), field("images", &Snapshot::images),
-               field("learned", &Snapshot::learned),   field("earlier", &Snapshot::earlier)};
+inline constexpr auto log_fields<Snapshot> = std::tuple{field("jobs", &Snapshot::jobs),
+                                                        field("intents", &Snapshot::intents),
+                                                        field("progress", &Snapshot::progress),
+                                                        field("images", &Snapshot::images),
+                                                        field("learned", &Snapshot::learned),
+                                                        field("earlier", &Snapshot::earlier),
+                                                        later_field("cascades", &Snapshot::cascades)};
 template <>
 inline constexpr auto log_fields<JobStored> =
     std::tuple{field("spec", &JobStored::spec), field("age_s", &JobStored::age_s),
@@ -210,8 +217,11 @@
         std::apply([&](const auto&... f) { ((j[f.key] = value.*f.member), ...); }, heronshift::replay::log_fields<T>);
     }
     static void from_json(const json& j, T& value) {
-        std::apply([&](const auto&... f) { (j.at(f.key).get_to(value.*f.member), ...); },
-                   heronshift::replay::log_fields<T>);
+        const auto read = [&](const auto& f) {
+            if (!f.may_be_missing || j.contains(f.key))
+                j.at(f.key).get_to(value.*f.member);
+        };
+        std::apply([&](const auto&... f) { (read(f), ...); }, heronshift::replay::log_fields<T>);
     }
 };
 template <class T> struct adl_serializer<std::optional<T>> {
--- a/tests/fault_scenario.hpp
+++ b/tests/fault_scenario.hpp
@@ -57,6 +57,8 @@
     // Whether the faults that the name extension votes came about; empty: it is not counted.
     std::function<bool(const FaultyFleet&)> took_place = nullptr;
     double team_cpus = 0; // the limit of each team, beyond what the services take; 0: as the world has it
+    // How long a task may run, if that is longer than the final checks: one that was lost late runs anew.
+    double longest_task_s = 0;
     friend std::ostream& operator<<(std::ostream& o, const Scenario& s) {
         return o << s.name;
     }
@@ -112,6 +114,12 @@
     return spec.id;
 }
 
+// Until no job is left that was asked for more than three leases ago, or the time is over.
+inline void finish_old_jobs(FaultyFleet& f, double for_s) {
+    for (const double end = f.now + for_s; f.now < end && f.unfinished(f.leases(3)) > 0;)
+        f.step(0.1);
+}
+
 // Plays a scenario and checks the rules, all answers, that it took place, and the end of the day.
 inline void play(const Scenario& scenario, unsigned seed) {
     FaultyFleet f(seed);
@@ -130,6 +138,7 @@
     f.close_looks = false;
     EXPECT_EQ(f.run_final_checks(), "") << seed;
     EXPECT_EQ(std::count_if(f.asks.begin(), f.asks.end(), [](const auto& a) { return !a.second.accepted(); }), 0);
+    finish_old_jobs(f, scenario.longest_task_s);
     EXPECT_EQ(f.unfinished(f.leases(3)), 0) << seed; // nothing stays suspected, reserved or counted for ever
 }
 
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -7,6 +7,7 @@
 
 #include "core/core.hpp"
 #include "leadership/leader_lease.hpp"
+#include "persistence/stored_records.hpp"
 #include "replay/command_log.hpp"
 
 #include <memory>
@@ -108,6 +109,8 @@
                 s.images.push_back(i);
             if (k.starts_with("l/"))
                 s.learned.push_back(i);
+            if (k.starts_with("x/") && !c.old)
+                s.cascades.push_back(i);
             if (k.starts_with("m/") || k.starts_with("d/"))
                 s.earlier.push_back(i);
         }
@@ -184,6 +187,15 @@
             until = now + ttl_s(); // all have their full time again
     }
 
+    bool in_cascade_record(const std::string& id) const {
+        for (auto it = store.lower_bound("x/"); it != store.end() && it->first.starts_with("x/"); ++it) {
+            const auto jobs = persistence::decode_cascade(it->second);
+            if (std::find(jobs.begin(), jobs.end(), id) != jobs.end())
+                return true;
+        }
+        return false;
+    }
+
     std::optional<codec::Json> stored(const std::string& key) override {
         const auto it = store.find(key);
         return it == store.end() ? std::nullopt : std::optional(it->second);
@@ -334,6 +346,8 @@
                 if (j != store.end())
                     if (auto r = codec::stored_job(j->second, now); r)
                         found.job = job_stored(std::move(*r), now);
+                if (in_cascade_record(id))
+                    found.state = Known::cancelled;
                 if (const auto x = store.find("f/" + id); x != store.end())
                     found.state = x->second["s"] == codec::status_done ? Known::done : Known::cancelled;
                 tell(found);
@@ -547,6 +561,8 @@
             const auto f = store.find("f/" + id);
             if (f != store.end())
                 hear(id, f->second["s"].get<std::string>());
+            else if (in_cascade_record(id))
+                hear(id, codec::status_cancelled);
             else if (store.contains("j/" + id))
                 hear(id, codec::status_pending);
             else
--- a/tests/test_cancellation_cascades.cpp
+++ b/tests/test_cancellation_cascades.cpp
@@ -45,9 +45,12 @@
             cancel_due();
             change_leader_if_due();
             step();
+            record_waits();
         }
     }
 
+    /// The longest that a record of each kind has waited for the store, in seconds.
+    std::map<std::string, double> longest_waits;
     /// Times that a final state of a job cancelled with its dependency, or of any other job, was sent to the store.
     int dependents_written = 0, others_written = 0;
     std::set<std::string> dependents; // of cancelled jobs
@@ -59,6 +62,17 @@
                 ++(dependents.contains(write.key.substr(2)) ? dependents_written : others_written);
     }
 
+    void record_waits() {
+        if (!core || now < next_record_at_)
+            return;
+        next_record_at_ = now + 1;
+        for (const auto& value : core->metrics())
+            if (value.name == "heronshift_unstored_oldest_seconds") {
+                auto& longest = longest_waits[value.labels.front().second];
+                longest = std::max(longest, value.value);
+            }
+    }
+
     JobSpec next_job(double cpus) {
         auto spec = job(++job_count_, Shape::array, 1, cpus, chance() < 0.5 ? "red" : "blue");
         return spec;
@@ -122,7 +136,7 @@
 
     Load load_;
     int job_count_ = 0;
-    double next_job_at_ = 0, next_pipeline_at_ = warm_up_s, next_failover_at_;
+    double next_record_at_ = 0, next_job_at_ = 0, next_pipeline_at_ = warm_up_s, next_failover_at_;
     std::map<std::string, double> cancel_at_;
 };
 
@@ -150,5 +164,18 @@
     }
 }
 
+TEST(CancellationCascades, NoKindOfRecordStarvesForThem) {
+    ShortJobsAndPipelines cluster(3, {.jobs_per_s = 12, .pipelines_per_s = 1.2});
+    cluster.run_load(240);
+    EXPECT_EQ(first_broken(cluster), "");
+    auto& longest = cluster.longest_waits;
+    const double report_s = cluster.settings.report_s;
+    EXPECT_LT(longest["cancelled"], report_s);
+    EXPECT_LT(longest["cancelled_with_dependency"], 2 * report_s);
+    EXPECT_LT(longest["ready"], report_s);
+    EXPECT_LT(longest["intents"], report_s);
+    EXPECT_GT(longest["done"], cluster.settings.cancel_s) << "the store takes them faster than they come";
+}
+
 } // namespace
 } // namespace heronshift::testing
--- a/tests/test_golden_records.cpp
+++ b/tests/test_golden_records.cpp
@@ -94,8 +94,8 @@
 Snapshot snapshot_of(const codec::Json& store) {
     Snapshot s;
     const std::pair<const char*, std::vector<codec::Item>*> prefixes[] = {
-        {"j/", &s.jobs},   {"i/", &s.intents}, {"p/", &s.progress}, {"q/", &s.progress},
-        {"c/", &s.images}, {"l/", &s.learned}, {"m/", &s.earlier},  {"d/", &s.earlier}};
+        {"j/", &s.jobs},    {"i/", &s.intents}, {"p/", &s.progress}, {"q/", &s.progress}, {"c/", &s.images},
+        {"l/", &s.learned}, {"m/", &s.earlier}, {"d/", &s.earlier},  {"x/", &s.cascades}};
     for (const auto& [key, value] : store.items())
         for (const auto& [prefix, into] : prefixes)
             if (key.starts_with(prefix))
--- a/tests/test_hung_machines.cpp
+++ b/tests/test_hung_machines.cpp
@@ -5,6 +5,8 @@
 namespace heronshift::testing {
 namespace {
 
+constexpr double longest_task_s = 120;
+
 // Some machines hang, with tasks that would run on for longer than cancel_s, and are back before their lease ends.
 void hang_with_long_tasks(FaultyFleet& f) {
     std::vector<std::string> list;
@@ -23,7 +25,7 @@
 
 Scenario hung(const char* name, const std::function<void(FaultyFleet&)>& besides) {
     Scenario s{name, [besides](FaultyFleet& f) {
-                   f.takes = [&f](std::uint32_t) { return f.between(90, 120); };
+                   f.takes = [&f](std::uint32_t) { return f.between(90, longest_task_s); };
                    f.every_s = 8;
                    f.on_step = [&f, besides, last_job = f.now + 90] {
                        if (f.now > last_job) // what is placed by then is through at the end of the day
@@ -37,6 +39,7 @@
                    };
                }};
     s.for_s = 150;
+    s.longest_task_s = longest_task_s;
     s.took_place = [](const FaultyFleet& f) { return f.cancelled.size() > 5; };
     return s;
 }
--- a/tests/test_late_commands.cpp
+++ b/tests/test_late_commands.cpp
@@ -41,6 +41,7 @@
                                 some_cancel(f, 0.1);
                         };
                     }});
+    list.back().for_s = 240; // in 90 s not every draw has both
     list.back().took_place = [](const FaultyFleet& f) {
         return f.late_commands.executed_for_former_leader > 0 && f.late_commands.refused_by_token > 0;
     };
