--- /dev/null
+++ b/tests/test_cascade_soak.cpp
@@ -0,0 +1,131 @@
+// A soak of real controllers: short jobs, pipelines that are cancelled, leaders that end, a store at its lowest limits.
+// By hand for longer: HERONSHIFT_SEED=7 HERONSHIFT_SOAK_S=3600 heronshift_tests --gtest_filter='CascadeSoak.*'
+#include "fault_scenario.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronshift::testing {
+namespace {
+
+double soak_s() {
+    const char* seconds = std::getenv("HERONSHIFT_SOAK_S");
+    return seconds != nullptr ? std::strtod(seconds, nullptr) : 300;
+}
+
+constexpr unsigned soak_seeds = sanitized ? 1 : 4;
+
+struct PipelinesUnderLoad : FaultyFleet {
+    static constexpr double pipelines_per_s = 0.3, failover_every_s = 25, restart_s = 4;
+    static constexpr double cancelled_jobs = 0.25, cancelled_pipelines = 0.8;
+    static constexpr int stages = 4;
+
+    PipelinesUnderLoad(unsigned seed, double jobs_per_s) : FaultyFleet(seed), jobs_per_s_(jobs_per_s) {
+        settings.report_s = 3;
+        settings.lease_s = 21;
+        settings.cancel_s = 46;
+        settings.state_rps = 90;
+        settings.state_write_rps = 24;
+        settings.value_kb = 2;
+        settings.txn_ops = 5;
+        engine = std::make_unique<store::Engine>(store::memory_data(), store::Limits{90, 24, 5, 2});
+        every_s = 1e9; // only the jobs below
+        n = 1000;
+        takes = [this](std::uint32_t) { return between(4, 8); };
+        on_step = [this] { submit_and_cancel(); };
+    }
+
+    /// Lets the last cancellations reach all jobs; those that were told so need not have run.
+    void end_load() {
+        on_step = {};
+        work(settings.cancel_s);
+        for (const auto& id : dependents_)
+            if (told.contains(id))
+                asks[id].cancels = true;
+    }
+
+    /// Answers to questions about jobs that a controller read in a cascade record.
+    double answers_from_cascades = 0;
+
+private:
+    std::string next_job(const std::vector<std::string>& dependencies) {
+        auto spec = job(++n, Shape::array, 1, 0.25, chance() < 0.5 ? "red" : "blue");
+        spec.dependencies = dependencies;
+        ask(spec);
+        return spec.id;
+    }
+
+    void submit_and_cancel() {
+        for (; next_job_at_ < now; next_job_at_ += between(0.5, 1.5) / jobs_per_s_) {
+            const auto id = next_job({});
+            if (chance() < cancelled_jobs)
+                send(between(0.5, 4), [this, id] { request_cancellation(id); });
+        }
+        for (; next_pipeline_at_ < now; next_pipeline_at_ += between(0.5, 1.5) / pipelines_per_s)
+            submit_pipeline();
+        if (now >= next_failover_at_) {
+            count_answers();
+            next_failover_at_ = now + failover_every_s;
+            if (const auto i = leader())
+                crash(*i, restart_s);
+        }
+    }
+
+    void submit_pipeline() {
+        std::vector<std::string> ids{next_job({})};
+        for (int stage = 1; stage < stages; ++stage)
+            ids.push_back(next_job({ids.back()}));
+        if (chance() >= cancelled_pipelines)
+            return;
+        send(between(1, 3), [this, ids] {
+            request_cancellation(ids.front());
+            for (const auto& id : ids)
+                history.cancel_asked(id); // cancelled with the first
+            dependents_.insert(dependents_.end(), ids.begin() + 1, ids.end());
+        });
+    }
+
+    // Of processes that are about to end, too.
+    void count_answers() {
+        for (const auto& node : nodes) {
+            if (!node.controller)
+                continue;
+            std::string text;
+            node.controller->serve({"GET", "/metrics", "", ""},
+                                   Responder([&](int, std::string_view body, int) { text = body; }));
+            const std::string name = "heronshift_answers_total{source=\"cascade record\"} ";
+            const auto at = text.find(name);
+            if (at != std::string::npos)
+                answers_from_cascades = std::max(answers_from_cascades, std::strtod(&text[at + name.size()], nullptr));
+        }
+    }
+
+    std::vector<std::string> dependents_; // of cancelled jobs
+    double jobs_per_s_;
+    double next_job_at_ = 0, next_pipeline_at_ = 20, next_failover_at_ = 75;
+};
+
+// Rules and answers only: the store takes fewer changes than these jobs need, so they are done late.
+TEST(CascadeSoak, NoRuleIsBrokenWhileJobsComeFasterThanTheStoreTakesThem) {
+    for (unsigned seed = 1; seed <= soak_seeds; ++seed) {
+        PipelinesUnderLoad fleet(seed, 3.5);
+        fleet.close_looks = true;
+        fleet.work(soak_s());
+        EXPECT_EQ(fleet.violation(), "") << seed;
+        EXPECT_GT(fleet.looks, 1000) << seed;
+        EXPECT_GT(fleet.answers_from_cascades, 0) << seed << ": no controller has answered from a cascade record";
+    }
+}
+
+TEST(CascadeSoak, EveryJobIsServedWhereTheStoreTakesThem) {
+    for (unsigned seed = 1; seed <= soak_seeds; ++seed) {
+        PipelinesUnderLoad fleet(10 + seed, 1.5);
+        fleet.close_looks = true;
+        fleet.work(soak_s());
+        fleet.end_load();
+        EXPECT_EQ(fleet.violation(), "") << seed;
+        EXPECT_EQ(fleet.run_final_checks(), "") << seed;
+    }
+}
+
+} // namespace
+} // namespace heronshift::testing
