Jobs that are done have their turn by the time of their submission

Cause: a turn that only the leader's memory knew. It began anew with every leader, so a job could be last in each term. Change: the final states of jobs that are done are ordered by the time of submission, which every leader reads; the other kinds by the time since when they are due, which a refused transaction does not change. What waits is counted once a second for the log.

--- a/src/cluster/job.hpp
+++ b/src/cluster/job.hpp
@@ -75,6 +75,8 @@
     int cascade_record = -1;
     /// The final state waits for its turn to be stored.
     bool final_queued = false;
+    /// Its turn among the final states of its kind: lower ones come first.
+    double final_turn = 0;
     /// When the final state was first due to be stored; below zero: it is not.
     double final_due_at = -1;
     /// The job is within its team's guarantee.
--- a/src/persistence/cascade_records.cpp
+++ b/src/persistence/cascade_records.cpp
@@ -102,8 +102,8 @@
 void ClusterRecords::CascadeRecords::committed(bool applied, FinalStates& finals) {
     auto was = std::exchange(in_flight_, {});
     if (!applied) {
-        for (auto job = was.jobs.rbegin(); job != was.jobs.rend(); ++job)
-            finals.give_back_dependent(**job);
+        for (auto* job : was.jobs)
+            finals.give_back_dependent(*job);
         return;
     }
     if (was.removed)
--- a/src/persistence/cluster_records.cpp
+++ b/src/persistence/cluster_records.cpp
@@ -22,6 +22,7 @@
 constexpr double max_saved_s = 0.5, min_saved_writes = 4; // of that budget, unused
 constexpr double min_transaction_writes = 5;              // saved up before one is built, its own guard included
 
+constexpr double backlog_check_s = 1;
 constexpr std::size_t min_record_bytes = 512, min_writes = 4; // however often the store calls them too large
 
 } // namespace
@@ -141,7 +142,11 @@
 }
 
 void ClusterRecords::log_late_records() {
-    if (auto line = report_.late_records(backlogs(), cluster_.view().now))
+    const double now = cluster_.view().now;
+    if (now < next_backlog_check_at_)
+        return;
+    next_backlog_check_at_ = now + backlog_check_s; // counting looks at all that waits
+    if (auto line = report_.late_records(backlogs(), now))
         cluster_.log(LogLine::Level::info, std::move(*line));
 }
 
--- a/src/persistence/cluster_records.hpp
+++ b/src/persistence/cluster_records.hpp
@@ -23,8 +23,8 @@
 /// Sequences the record kinds: collects their writes into transactions and tells each the outcome.
 ///
 /// Belongs to the thread of the core. It alone writes the members of cluster::Job and cluster::Entry that say where
-/// they are recorded (slot, at_slot, carried_from, recorded, bucket, ready_recorded, final_queued, final_due_at,
-/// final_sent, final_stored, cascade_record).
+/// they are recorded (slot, at_slot, carried_from, recorded, bucket, ready_recorded, final_queued, final_turn,
+/// final_due_at, final_sent, final_stored, cascade_record).
 class ClusterRecords final : public cluster::PersistenceListener {
 public:
     /// Enters what the store holds into the cluster state.
@@ -102,6 +102,7 @@
     bool transaction_open_ = false;
     double sent_at_ = 0; ///< The transaction in flight.
     double write_budget_, write_budget_at_;
+    double next_backlog_check_at_ = 0;
     std::uint64_t committed_count_ = 0;
 };
 
--- a/src/persistence/final_states.cpp
+++ b/src/persistence/final_states.cpp
@@ -29,19 +29,31 @@
         return;
     if (job.final_due_at < 0)
         job.final_due_at = cluster_.view().now;
-    push(urgency == Urgency::cancelled                   ? cancelled_
-         : urgency == Urgency::cancelled_with_dependency ? dependents_
-                                                         : done_,
-         job);
+    if (urgency == Urgency::done)
+        push(done_, job, job.submitted);
+    else
+        push(urgency == Urgency::cancelled ? cancelled_ : dependents_, job, job.final_due_at);
 }
 
-void ClusterRecords::FinalStates::push(Queue& queue, Job& job) {
+void ClusterRecords::FinalStates::push(Queue& queue, Job& job, double turn) {
     job.final_queued = true;
-    queue.push_back(&job);
+    job.final_turn = turn;
+    queue.insert(&job);
+}
+
+Job& ClusterRecords::FinalStates::pop(Queue& queue) {
+    auto& job = **queue.begin();
+    queue.erase(queue.begin());
+    job.final_queued = false;
+    job.final_sent = true;
+    return job;
 }
 
 persistence::Backlog ClusterRecords::FinalStates::backlog_of(const char* kind, const Queue& queue) const {
-    return {kind, queue.size(), queue.empty() ? 0 : cluster_.view().now - queue.front()->final_due_at};
+    persistence::Backlog backlog{kind, queue.size(), 0};
+    for (const auto* job : queue)
+        backlog.oldest_s = std::max(backlog.oldest_s, cluster_.view().now - job->final_due_at);
+    return backlog;
 }
 
 std::vector<persistence::Backlog> ClusterRecords::FinalStates::backlog() const {
@@ -75,10 +87,7 @@
 void ClusterRecords::FinalStates::write_next(persistence::TransactionBuilder& transaction) {
     auto& queue = next_queue();
     since_cascaded_ = &queue == &cascaded_ ? 0 : since_cascaded_ + 1;
-    auto& job = *queue.front();
-    queue.pop_front();
-    job.final_queued = false;
-    job.final_sent = true;
+    auto& job = pop(queue);
     const bool own_record_stored = job.final_stored && job.cascade_record < 0;
     if (!own_record_stored)
         put_final_record(transaction, job);
@@ -130,22 +139,21 @@
 
 // In the places that they had: a user who has waited through a refusal is not put behind all others.
 void ClusterRecords::FinalStates::retry(const std::vector<InFlight>& refused) {
-    for (auto sent = refused.rbegin(); sent != refused.rend(); ++sent)
-        put_back(*sent->job, *sent->queue);
+    for (const auto& sent : refused)
+        put_back(*sent.job, *sent.queue);
 }
 
 void ClusterRecords::FinalStates::put_back(Job& job, Queue& queue) {
     job.final_sent = false; // surely not carried out
     if (job.final_queued)   // meanwhile none of its tasks is left
-        std::erase(done_, &job);
-    job.final_queued = true;
-    queue.push_front(&job);
+        done_.erase(&job);
+    push(queue, job, &queue == &done_ ? job.submitted : job.final_due_at);
 }
 
 // The final state may now be told.
 void ClusterRecords::FinalStates::stored(Job& job) {
     job.final_stored = true;
-    job.final_due_at = -1;
+    job.final_due_at = job.final_queued ? cluster_.view().now : -1; // what is left to do is to remove its record
     for (const auto request : job.cancels)
         effects_.emplace_back(AnswerCancellation{request, status_of(job)});
     job.cancels.clear();
@@ -159,17 +167,13 @@
         return; // a task has shown up on a machine meanwhile: it is stopped first
     if (job.final_queued)
         for (auto* queue : {&cancelled_, &done_, &dependents_, &cascaded_})
-            std::erase(*queue, &job);
+            queue->erase(&job);
     ready_.forget(job);
     cluster_.forget_job(job);
 }
 
 Job& ClusterRecords::FinalStates::take_dependent() {
-    auto& job = *dependents_.front();
-    dependents_.pop_front();
-    job.final_queued = false;
-    job.final_sent = true;
-    return job;
+    return pop(dependents_);
 }
 
 void ClusterRecords::FinalStates::give_back_dependent(Job& job) {
@@ -178,10 +182,10 @@
 
 void ClusterRecords::FinalStates::stored_in_cascade(Job& job) {
     if (job.final_queued)
-        std::erase(dependents_, &job);
+        dependents_.erase(&job);
     stored(job);
     job.final_due_at = cluster_.view().now;
-    push(cascaded_, job);
+    push(cascaded_, job, job.final_due_at);
 }
 
 } // namespace heronshift
--- a/src/persistence/final_states.hpp
+++ b/src/persistence/final_states.hpp
@@ -9,7 +9,7 @@
 #include "transaction_builder.hpp"
 
 #include <cstddef>
-#include <deque>
+#include <set>
 #include <vector>
 
 namespace heronshift {
@@ -17,8 +17,10 @@
 /// A final state is told only once it is stored (invariant 10). The job's record is removed when none of its tasks is
 /// left on any machine; until then it names the final state, so that no later leader starts any of them.
 ///
-/// What users wait for goes first, then jobs that are done, then those that were cancelled with a job that they need;
-/// each kind in the order in which they came. The last of these do not depend on their turn: see CascadeRecords.
+/// What users wait for goes first, then jobs that are done, then those that were cancelled with a job that they need.
+/// The last of these do not depend on their turn: see CascadeRecords. Jobs that are done have their turn by the time of
+/// their submission, which no change of leader changes: in the order in which they are done, a job that the next leader
+/// runs again comes last again, in every term (`CascadeSoak`).
 class ClusterRecords::FinalStates {
 public:
     FinalStates(cluster::ClusterState& cluster, std::vector<Effect>& effects, ReadyRecords& ready,
@@ -52,17 +54,24 @@
 
     /// The job that has waited longest of those cancelled with a dependency and stored nowhere; null: there is none.
     [[nodiscard]] const cluster::Job* oldest_dependent() const {
-        return dependents_.empty() ? nullptr : dependents_.front();
+        return dependents_.empty() ? nullptr : *dependents_.begin();
     }
     /// Takes that job out of its queue: its final state is on its way to the store in a cascade record.
     cluster::Job& take_dependent();
-    /// It was not stored. In the reverse order of taking them.
+    /// It was not stored.
     void give_back_dependent(cluster::Job& job);
     /// A cascade record in the store names the job: it may be told, and its own records follow when there is room.
     void stored_in_cascade(cluster::Job& job);
 
 private:
-    using Queue = std::deque<cluster::Job*>;
+    struct EarlierTurn {
+        bool operator()(const cluster::Job* a, const cluster::Job* b) const {
+            if (a->final_turn != b->final_turn)
+                return a->final_turn < b->final_turn;
+            return a->spec.id < b->spec.id;
+        }
+    };
+    using Queue = std::set<cluster::Job*, EarlierTurn>;
     struct InFlight {
         cluster::Job* job;
         Queue* queue; // that it came from
@@ -71,7 +80,8 @@
     bool must_leave_room(bool intents_wait);
     Queue& next_queue();
     [[nodiscard]] persistence::Backlog backlog_of(const char* kind, const Queue& queue) const;
-    void push(Queue& queue, cluster::Job& job);
+    static void push(Queue& queue, cluster::Job& job, double turn);
+    static cluster::Job& pop(Queue& queue);
     void write_next(persistence::TransactionBuilder& transaction);
     void put_final_record(persistence::TransactionBuilder& transaction, const cluster::Job& job);
     void put_job_record(persistence::TransactionBuilder& transaction, const cluster::Job& job);
