--- a/src/persistence/cascade_records.cpp
+++ b/src/persistence/cascade_records.cpp
@@ -46,9 +46,10 @@
     const auto least = std::min_element(records_.begin(), records_.end(),
                                         [](const Record& a, const Record& b) { return a.jobs.size() < b.jobs.size(); });
     const auto room = limits_.max_record_bytes;
-    if (least != records_.end() && size_of(least->jobs) <= room / 2)
+    const bool may_add = records_.size() < max_cascade_records;
+    if (least != records_.end() && size_of(least->jobs) <= (may_add ? room / 2 : room))
         return static_cast<std::size_t>(least - records_.begin());
-    if (records_.size() >= max_cascade_records)
+    if (!may_add)
         return {};
     records_.emplace_back();
     return records_.size() - 1;
@@ -67,6 +68,8 @@
         size += size_of(*job);
         in_flight_.jobs.push_back(&finals.take_dependent());
     }
+    if (in_flight_.jobs.empty())
+        return; // not even one more fits
     write(transaction, *number, size);
 }
 
