--- a/src/persistence/final_states.cpp
+++ b/src/persistence/final_states.cpp
@@ -70,8 +70,7 @@
 }
 
 ClusterRecords::FinalStates::Queue& ClusterRecords::FinalStates::next_queue() {
-    const bool cascaded_turn =
-        !cascaded_.empty() && since_cascaded_ + 1 >= cascaded_share && cascades_.filling_up();
+    const bool cascaded_turn = !cascaded_.empty() && since_cascaded_ + 1 >= cascaded_share && cascades_.filling_up();
     for (auto* queue : {&cancelled_, &done_, &dependents_})
         if (!queue->empty() && !cascaded_turn)
             return *queue;
