Review, case 3: dependents outlive a cancellation after a change of leader

Cause: a new leader looks up each job that is over and that a waiting job names, eight at a time and within a quarter of the rate of reads; nothing puts those first that are due within cancel_s (the known fault FailoverLookups).

Nothing is fixed.

--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -27,9 +27,10 @@
 
 class Deployment {
 public:
-    Deployment(const Options& options, const PlatformSettings& platform_settings, const std::string& teams)
-        : record(options.record), store(3, {}), platform(platform_settings, record),
-          service(options.program, options.folder, settings(platform_settings, teams), record) {
+    Deployment(const Options& options, const PlatformSettings& platform_settings, const std::string& teams,
+               const Store::Limits& limits = {})
+        : record(options.record), store(3, limits), platform(platform_settings, record),
+          service(options.program, options.folder, settings(platform_settings, teams, limits), record) {
         for (std::size_t i = 0; i < service.size(); ++i)
             platform.settings.controllers.emplace_back(Service::name(i), service.users(i));
     }
@@ -86,7 +87,8 @@
     std::size_t next_node() {
         return node_++ % service.size();
     }
-    ServiceSettings settings(const PlatformSettings& platform_settings, const std::string& teams) {
+    ServiceSettings settings(const PlatformSettings& platform_settings, const std::string& teams,
+                             const Store::Limits& limits) {
         ServiceSettings settings;
         settings.zones = platform_settings.zones;
         settings.teams = teams;
@@ -94,8 +96,10 @@
         settings.workers = "report_s = " + number(platform_settings.report_s) +
                            "lease_s = " + number(platform_settings.lease_s) +
                            "gang_wait_s = " + number(platform_settings.gang_wait_s) +
-                           "gang_peer_s = " + number(platform_settings.gang_peer_s) + "cancel_s = 40.0\n";
-        settings.limits = "rps = 200.0\nwrite_rps = 80.0\nvalue_kb = 16.0\ntxn_ops = 24\n";
+                           "gang_peer_s = " + number(platform_settings.gang_peer_s) +
+                           "cancel_s = " + number(platform_settings.cancel_s);
+        settings.limits = "rps = " + number(limits.rps) + "write_rps = " + number(limits.write_rps) +
+                          "value_kb = 16.0\ntxn_ops = 24\n";
         settings.cloud = "rps = 8.0\nlist_lag_s = " + number(platform_settings.list_lag_s);
         settings.cloud_at = platform.at();
         settings.peer_at = peer_hook;
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -42,7 +42,7 @@
 };
 
 struct PlatformSettings {
-    double report_s = 2, lease_s = 10, gang_wait_s = 20, gang_peer_s = 4, list_lag_s = 3;
+    double report_s = 2, lease_s = 10, gang_wait_s = 20, gang_peer_s = 4, cancel_s = 40, list_lag_s = 3;
     std::vector<std::string> zones{"a"};
     std::vector<std::pair<std::string, Address>> controllers;
     std::string type = "server-mare";
