--- a/src/local/cloud.cpp
+++ b/src/local/cloud.cpp
@@ -157,16 +157,26 @@
     const auto o = codec::read_orders(request.body);
     if (!o || !o->fencing_token || !o->agent_epoch)
         return res.send(400, error_body("fence and tenure are needed"));
-    const auto take = [this, o = *o, res] {
+    const auto take = [this, o = *o, responder = platform_.late_copies().copying(res, copy_of(*o))] {
         const auto [status, answer] = take_orders(*o.fencing_token, *o.agent_epoch, o.list);
         if (answer)
-            res.send(status, codec::to_body(*answer));
+            responder.send(status, codec::to_body(*answer));
     };
     if (now < delayed_until)
         return delayed_messages_.push_back(take);
     take();
 }
 
+std::function<void()> EmulatedWorker::copy_of(const codec::Orders& orders) {
+    return [&platform = platform_, id = id_, orders] {
+        const auto it = platform.machines_.find(id);
+        if (it == platform.machines_.end())
+            return;
+        const auto [status, answer] = it->second->take_orders(*orders.fencing_token, *orders.agent_epoch, orders.list);
+        platform.late_copies().refused_orders += status == 409;
+    };
+}
+
 void EmulatedWorker::next_node(double now) {
     const auto n = platform_.plan_.workers.nodes.size();
     if (n > 0)
@@ -231,20 +241,28 @@
     ++message_count_;
     if (in_process_)
         return heartbeat_handler_ ? heartbeat_handler_(std::move(heartbeat), std::move(done)) : done({});
+    // A copy arrives at any controller.
+    auto copy = [this, body = codec::to_body(heartbeat)] {
+        const auto& nodes = plan_.workers.nodes;
+        client_.request(nodes[ticks_ % nodes.size()].second, "POST", std::string(codec::path_heartbeat), body,
+                        heartbeat_timeout_s, [](HttpReply&&) {});
+    };
+    auto on_reply = [done = std::move(done)](HttpReply&& reply) {
+        HeartbeatResponse a;
+        auto o = reply.status == 200 ? codec::read_orders(reply.body) : std::nullopt;
+        if (reply.status == 421) {
+            a = {421, 0, {}, codec::redirected_to(reply.body)};
+        } else if (reply.status == 200) {
+            // A missing fencing token counts as 0, which is older than any other.
+            a = {200, o && o->fencing_token ? *o->fencing_token : 0, {}, {}};
+            if (a.fencing_token > 0)
+                a.orders = std::move(o->list);
+        }
+        done(a);
+    };
     client_.request(plan_.workers.nodes[w.node_].second, "POST", std::string(codec::path_heartbeat),
-                    codec::to_body(heartbeat), heartbeat_timeout_s, [done = std::move(done)](HttpReply&& reply) {
-                        HeartbeatResponse a;
-                        auto o = reply.status == 200 ? codec::read_orders(reply.body) : std::nullopt;
-                        if (reply.status == 421) {
-                            a = {421, 0, {}, codec::redirected_to(reply.body)};
-                        } else if (reply.status == 200) {
-                            // A missing fencing token counts as 0, which is older than any other.
-                            a = {200, o && o->fencing_token ? *o->fencing_token : 0, {}, {}};
-                            if (a.fencing_token > 0)
-                                a.orders = std::move(o->list);
-                        }
-                        done(a);
-                    });
+                    codec::to_body(heartbeat), heartbeat_timeout_s,
+                    late_copies_->copying(std::move(on_reply), std::move(copy)));
 }
 
 void EmulatedWorker::tick(double now) {
@@ -316,10 +334,16 @@
 
 Platform::Platform(uv_loop_t* loop, PlatformPlan plan, History& history)
     : loop_(loop), plan_(std::move(plan)), history_(history), rng_(plan_.seed),
-      server_(loop, 64, 600, [this](HttpRequest&& request, const Responder& res) { handle(std::move(request), res); }),
+      server_(loop, 64, 600,
+              [this](HttpRequest&& request, const Responder& res) {
+                  const auto responder =
+                      late_copies_->copying(res, [this, copy = request] { handle(HttpRequest(copy), Responder()); });
+                  handle(std::move(request), responder);
+              }),
       client_(loop, 128, 4096) {
     if (!plan_.clock)
         plan_.clock = std::make_shared<Clock>();
+    late_copies_ = std::make_unique<LateCopies>(plan_.clock, plan_.seed);
 }
 
 int Platform::start(const Endpoint& cloud_at) {
@@ -383,6 +407,7 @@
 void Platform::turn() {
     const double t = now();
     removed_machines_.clear();
+    late_copies_->deliver_due();
     for (auto& [id, m] : machines_)
         m->tick(t);
     if (++ticks_ % ticks_per_sweep == 0)
--- a/src/local/cloud.hpp
+++ b/src/local/cloud.hpp
@@ -8,6 +8,7 @@
 #include "heronshift/executor/executor.hpp"
 #include "http.hpp"
 #include "local/history.hpp"
+#include "local/late_copies.hpp"
 #include "loop_timer.hpp"
 
 #include <functional>
@@ -82,6 +83,7 @@
         double peer_missing_since = -1; // Since when a task of the same gang is missing; -1: none is.
     };
     void handle(HttpRequest&& request, const Responder& res);
+    [[nodiscard]] std::function<void()> copy_of(const codec::Orders& orders);
     void execute(const std::vector<Order>& list, double now);
     void launch(const Order& order, double now);
     void end(Run& r, ExitCause cause, bool saved = false);
@@ -131,6 +133,10 @@
     /// there is one.
     std::function<std::optional<JobSpec>(const std::string& id)> ask;
     bool out = false; ///< A fault: the cloud refuses all requests.
+    /// A fault: late copies of orders, heartbeats and requests to the cloud. Delivered in `turn`.
+    [[nodiscard]] LateCopies& late_copies() {
+        return *late_copies_;
+    }
     /// Returns a random machine that is up, or null if there is none.
     EmulatedWorker* random_worker();
     /// Removes a machine together with its tasks.
@@ -179,6 +185,7 @@
     PlatformPlan plan_;
     History& history_;
     std::mt19937 rng_;
+    std::unique_ptr<LateCopies> late_copies_;
     HttpServer server_;
     HttpClient client_;
     std::map<std::string, std::unique_ptr<EmulatedWorker>> machines_;
--- a/src/local/local.cpp
+++ b/src/local/local.cpp
@@ -28,6 +28,7 @@
 constexpr double user_timeout_s = 5, poll_timeout_s = 2, poll_interval_s = 1, submission_timeout_s = 60;
 constexpr double restart_delay_s = 2; // Delay before a controller that has ended is started again.
 constexpr double fault_interval_s = 2.5;
+constexpr double late_copy_share = 0.2;
 
 std::vector<TeamLimits> teams() {
     return {{"red", 40, 64, 0, 0}, {"blue", 24, 48, 0, 0}};
@@ -141,6 +142,8 @@
         platform_ = std::make_unique<Platform>(&loop_, std::move(plan), history_);
         if (platform_->start({"127.0.0.1", 0}) != 0)
             return "the cloud cannot listen";
+        if (options_.faults)
+            enable_late_copies();
         platform_->ask = [this](const std::string& id) -> std::optional<JobSpec> {
             const auto row = store_->engine().data().get(persistence::job_key(id));
             auto j = row ? codec::stored_job(codec::parse(row->data), 0) : std::nullopt;
@@ -182,6 +185,15 @@
         return {};
     }
 
+    // Of everything but the messages between controllers, which do not pass through an emulator.
+    void enable_late_copies() {
+        platform_->late_copies().share = late_copy_share;
+        store_->set_interceptor([this](const HttpRequest& request, const Responder& responder) {
+            return platform_->late_copies().copying(
+                responder, [this, request] { store_->handle(HttpRequest(request), Responder()); });
+        });
+    }
+
     bool write_settings(const std::string& path, const std::string& name, int user, int peer) {
         std::ofstream f(path);
         f << fmt::format("host_name = \"{}\"\nzone = \"a\"\nbind = \"127.0.0.1:{}\"\nback = \"127.0.0.1:{}\"\n", name,
@@ -315,14 +327,22 @@
         const auto path = std::string(codec::path_jobs);
         const auto job_path = path + "/" + u.spec.id;
         u.request_pending = true;
-        auto done = [this, i](HttpReply&& reply) { handle_answer(i, reply); };
         if (u.state == S::submitting)
-            http_client_->request(random_controller(), "POST", path, codec::to_body(u.spec), user_timeout_s, done);
+            send_request(i, "POST", path, codec::to_body(u.spec), user_timeout_s);
         else if (u.state == S::cancelling)
-            http_client_->request(random_controller(), "POST", job_path + "/" + std::string(codec::suffix_cancel), "{}",
-                                  user_timeout_s, done);
+            send_request(i, "POST", job_path + "/" + std::string(codec::suffix_cancel), "{}", user_timeout_s);
         else
-            http_client_->request(random_controller(), "GET", job_path, "", poll_timeout_s, done);
+            send_request(i, "GET", job_path, "", poll_timeout_s);
+    }
+
+    void send_request(std::size_t user, const char* method, const std::string& path, const std::string& body,
+                      double timeout_s) {
+        auto copy = [this, method, path, body, timeout_s] {
+            http_client_->request(random_controller(), method, path, body, timeout_s, [](HttpReply&&) {});
+        };
+        auto done = [this, user](HttpReply&& reply) { handle_answer(user, reply); };
+        http_client_->request(random_controller(), method, path, body, timeout_s,
+                              platform_->late_copies().copying(std::move(done), std::move(copy)));
     }
 
     void handle_answer(std::size_t i, const HttpReply& reply) {
@@ -484,7 +504,10 @@
         std::cout << fmt::format("rules      {}\n",
                                  history_.violations().empty() ? "none broken" : "broken, see above");
         if (options_.faults)
-            std::cout << fmt::format("seed       {}\n", options_.seed);
+            std::cout << fmt::format("copies     {} of answered messages came late, machines refused {} of orders\n"
+                                     "seed       {}\n",
+                                     platform_->late_copies().delivered(), platform_->late_copies().refused_orders,
+                                     options_.seed);
         return history_.violations().empty() && (left.empty() || options_.stay) && unexpected_exits_ == 0 ? 0 : 1;
     }
 
--- a/src/store/server.cpp
+++ b/src/store/server.cpp
@@ -33,8 +33,10 @@
 
 StoreServer::StoreServer(uv_loop_t* loop, std::unique_ptr<Engine> engine)
     : loop_(loop), store_(loop, std::move(engine)),
-      server_(loop, 10'000, 600,
-              [this](HttpRequest&& request, const Responder& responder) { handle(std::move(request), responder); }) {}
+      server_(loop, 10'000, 600, [this](HttpRequest&& request, const Responder& responder) {
+          const auto intercepted = interceptor_ ? interceptor_(request, responder) : responder;
+          handle(std::move(request), intercepted);
+      }) {}
 
 int StoreServer::start(const Endpoint& at) {
     if (const int e = server_.listen(at); e != 0)
--- a/src/store/server.hpp
+++ b/src/store/server.hpp
@@ -27,16 +27,23 @@
     // When a fault ends (the mode becomes `none`), all leases get their full time again.
     void set_fault_mode(FaultMode m);
     void poll(); // answers follows whose keys have changed or whose time is over; start() calls it periodically
+    // Replaces the responder of a request before the request is handled, for further faults.
+    using Interceptor = std::function<Responder(const HttpRequest&, const Responder&)>;
+    void set_interceptor(Interceptor interceptor) {
+        interceptor_ = std::move(interceptor);
+    }
+    // Handles a request as if it had just arrived; not passed to the interceptor.
+    void handle(HttpRequest&& request, const Responder& responder);
     [[nodiscard]] std::uint64_t requests() const {
         return requests_;
     }
 
 private:
-    void handle(HttpRequest&& request, const Responder& responder);
     uv_loop_t* loop_;
     DirectStore store_;
     HttpServer server_;
     std::vector<Responder> unanswered_;
+    Interceptor interceptor_;
     FaultMode fault_mode_ = FaultMode::none;
     std::uint64_t requests_ = 0, polls_ = 0;
     LoopTimer timer_;
--- a/tests/direct_commands.hpp
+++ b/tests/direct_commands.hpp
@@ -17,6 +17,7 @@
         std::string address;
         std::uint64_t fencing_token = 0, agent_epoch = 0;
         std::vector<Order> orders;
+        bool answered = false; // what arrives after that is a copy
     };
     // The share of commands that the network delays, the range of the delay, and counters of what became of them.
     struct LateCommands {
@@ -31,19 +32,29 @@
         int held_by_hang = 0;                // arrived at a hanging machine, delivered once it resumed
         int launches_after_cancellation = 0; // executed after the user was told that the job is cancelled
     } late_commands;
+    std::set<std::string> commands_lost; // machines that get no direct commands
+    // What became of late copies of commands that were answered (`LateCopies`).
+    struct CopiedCommands {
+        int executed = 0, refused_by_token = 0, refused_by_session = 0;
+    } copied_commands;
 
-    void deliver(const Command& command, const Answer<CommandAnswer>& answer) {
+    void deliver(Command& command, const Answer<CommandAnswer>& answer) {
         if (!reachable(command.address))
             return;
         auto& machine = workers[command.address];
+        if (commands_lost.contains(command.address))
+            return;
         if (machine.hung)
             return hold_while_hung(command);
+        if (command.answered)
+            return deliver_copy(machine, command);
         if (!command.orders.empty() && late_commands.share > 0 && chance() < late_commands.share) {
             ++late_commands.held;
             const double delay = between(late_commands.shortest_s, late_commands.longest_s);
             return send(delay, [this, command] { deliver_late(command); });
         }
         const bool accepted = try_execute(machine, command);
+        command.answered = true;
         answer({accepted ? 200 : 409, heartbeat(machine)});
     }
 
@@ -59,6 +70,13 @@
         execute(machine, command.orders);
         return true;
     }
+    void deliver_copy(Worker& machine, const Command& command) {
+        if (command.orders.empty())
+            return;
+        copied_commands.refused_by_token += command.fencing_token < machine.fencing_token;
+        copied_commands.refused_by_session += command.agent_epoch != machine.agent_epoch;
+        copied_commands.executed += try_execute(machine, command);
+    }
     void hold_while_hung(const Command& command) {
         if (command.agent_epoch == 0)
             return; // a probe: no machine has the agent epoch 0
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -192,12 +192,10 @@
                        std::vector<Order> orders, double timeout_s, Done<CommandAnswer> done) {
             const auto it = fleet.workers.find(addr);
             const auto to = it == fleet.workers.end() ? "nowhere" : fleet.party(it->second);
+            auto command = std::make_shared<Command>(Command{addr, fencing_token, agent_epoch, std::move(orders)});
             fleet.node_request<CommandAnswer>(
                 i, to, timeout_s,
-                [f = &fleet, addr, fencing_token, agent_epoch,
-                 orders = std::move(orders)](const Answer<CommandAnswer>& answer) {
-                    f->deliver({addr, fencing_token, agent_epoch, orders}, answer);
-                },
+                [f = &fleet, command](const Answer<CommandAnswer>& answer) { f->deliver(*command, answer); },
                 std::move(done));
         }
         void command(const SendOrders& o, double timeout_s, std::function<void(OrdersAnswered&&)> done) override {
--- a/tests/machines.hpp
+++ b/tests/machines.hpp
@@ -13,6 +13,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace heronshift::testing {
@@ -70,6 +71,7 @@
             double incomplete_since = -1;
         };
         std::vector<Run> tasks;
+        std::set<std::tuple<std::string, std::uint32_t, std::uint64_t>> reaped; // attempts, by job and index
     };
 
     explicit Machines(unsigned seed) : rng(seed) {}
@@ -119,9 +121,11 @@
                 return t.job == o.job && t.index == o.index && t.attempt == o.attempt;
             });
             if (o.verb == Verb::launch) {
-                cancelled_launches += cancelled.contains(o.job);
                 if (it != w.tasks.end())
                     continue;
+                cancelled_launches += cancelled.contains(o.job);
+                if (w.reaped.contains({o.job, o.index, o.attempt}))
+                    violations.push_back(fmt::format("started_again {}/{} on {}", o.job, o.index, w.id));
                 Worker::Run t{o.job, o.index, o.attempt, TaskState::fetching, ExitCause::none, now + between(0.1, 2)};
                 Resources used = jobs[o.job].each;
                 for (const auto& x : w.tasks)
@@ -138,6 +142,7 @@
                 it->state = TaskState::ended;
                 it->cause = ExitCause::stopped;
             } else if (it != w.tasks.end() && it->state == TaskState::ended) {
+                w.reaped.emplace(o.job, o.index, o.attempt);
                 w.tasks.erase(it);
             }
         }
--- a/tests/network.hpp
+++ b/tests/network.hpp
@@ -19,6 +19,16 @@
     };
     std::map<std::pair<std::string, std::string>, Link> links;
 
+    // Copies of requests that were carried out and answered: the share of requests of which each copy arrives, how many
+    // there are at most, the range of the delay after the answer, and the links to which that applies (empty: all).
+    struct LateCopies {
+        double share = 0;
+        int max_copies = 2;
+        double shortest_s = 0.5, longest_s = 40;
+        std::function<bool(const std::string& from, const std::string& to)> on_link;
+        int arrived = 0;
+    } late_copies;
+
     void set(const std::string& from, const std::string& to, Mode m) {
         auto& l = links[{from, to}];
         l.mode = m;
@@ -73,12 +83,30 @@
         transmit(
             from, to,
             [this, from, to, serve = std::move(serve), finish] {
-                serve([this, from, to, finish](R r) { transmit(to, from, [finish, r] { finish(r, true); }); });
+                serve([this, from, to, serve, finish](R r) {
+                    transmit(to, from, [finish, r] { finish(r, true); });
+                    send_late_copies<R>(from, to, serve);
+                });
             },
             [finish] { finish({}, false); });
         send(timeout_s, [finish] { finish({}, true); });
     }
 
+    // The copies of one request; nobody waits for their answers.
+    template <class R>
+    void send_late_copies(const std::string& from, const std::string& to, const std::function<void(Answer<R>)>& serve) {
+        const auto& plan = late_copies;
+        if (plan.share <= 0 || (plan.on_link && !plan.on_link(from, to)))
+            return;
+        for (int copy = 0; copy < plan.max_copies && chance() < plan.share; ++copy)
+            send(between(plan.shortest_s, plan.longest_s), [this, from, to, serve] {
+                transmit(from, to, [this, serve] {
+                    ++late_copies.arrived;
+                    serve([](R) {});
+                });
+            });
+    }
+
     void heal() {
         for (const auto& [link, l] : std::map(links))
             set(link.first, link.second, Mode::open);
--- a/tests/test_cascade_soak.cpp
+++ b/tests/test_cascade_soak.cpp
@@ -7,11 +7,6 @@
 namespace heronshift::testing {
 namespace {
 
-double soak_s() {
-    const char* seconds = std::getenv("HERONSHIFT_SOAK_S");
-    return seconds != nullptr ? std::strtod(seconds, nullptr) : 300;
-}
-
 constexpr unsigned soak_seeds = sanitized ? 1 : 4;
 
 struct PipelinesUnderLoad : FaultyFleet {
--- a/tests/working.hpp
+++ b/tests/working.hpp
@@ -24,6 +24,12 @@
     return by == nullptr ? 0 : static_cast<unsigned>(std::strtoul(by, nullptr, 10));
 }
 
+// The length of one soak run in simulated seconds. For longer runs by hand: HERONSHIFT_SOAK_S=3600.
+inline double soak_s() {
+    const char* seconds = std::getenv("HERONSHIFT_SOAK_S");
+    return seconds != nullptr ? std::strtod(seconds, nullptr) : 300;
+}
+
 // A fleet with the timing settings of a large one, and a steady load: services that must stay up, and short jobs that
 // are submitted continuously.
 struct FleetUnderLoad : FleetWithUsers {
