Log lines and metrics that tell why a machine ran a task

Debug lines for each batch of orders, its answer and each answered heartbeat, with token, agent epoch, route and number of launches, stops and reaps. The metric heronshift_order_batches_total counts batches by outcome.

--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -165,6 +165,11 @@
         std::uint64_t stale_heartbeats = 0;
         /// Heartbeats of machines that were released to the cloud.
         std::uint64_t heartbeats_of_gone_machines = 0;
+        /// Batches of orders by outcome: the machine carried them out or refused them, they were never sent, or their
+        /// outcome is unknown.
+        std::uint64_t batches_executed = 0, batches_refused = 0, batches_not_sent = 0, batches_unknown = 0;
+        /// Tasks launched in this term that a machine reported as alive after they had been proven gone.
+        std::uint64_t tasks_reappeared = 0;
     };
     [[nodiscard]] const Counters& counters() const {
         return counters_;
@@ -245,6 +250,7 @@
     void handle_untracked_ended_task(const ReportedTask& task, std::vector<Order>& orders);
     void adopt_untracked_task(Machine& machine, const ReportedTask& task, std::uint64_t heartbeat_seq,
                               std::vector<Order>& orders);
+    void report_reappeared_task(const Machine& machine, const ReportedTask& task);
     void remove_gone(Machine& machine, const Heartbeat& heartbeat, std::uint64_t heartbeat_seq,
                      const std::vector<EndedTask>& ended);
     bool may_reap(const ReportedTask& task);
--- a/src/cluster/heartbeats.cpp
+++ b/src/cluster/heartbeats.cpp
@@ -227,6 +227,8 @@
 // even if it is to be stopped.
 void ClusterState::adopt_untracked_task(Machine& machine, const ReportedTask& task, std::uint64_t heartbeat_seq,
                                         std::vector<Order>& orders) {
+    if (task.attempt >> attempt_counter_bits == data_.term)
+        report_reappeared_task(machine, task);
     auto* job = find_job(task.job);
     if (job == nullptr || task.index >= job->tasks.size()) {
         orders.push_back({Verb::stop, task.job, task.index, task.attempt, 0});
@@ -240,6 +242,13 @@
         stop_entry(entry, 0);
 }
 
+// An attempt of this term is without an entry only if it was proven gone, so it must not be alive any more.
+void ClusterState::report_reappeared_task(const Machine& machine, const ReportedTask& task) {
+    ++counters_.tasks_reappeared;
+    log(LogLine::Level::warning, fmt::format("task {}/{} attempt {} is on {} again, though it was proven gone",
+                                             task.job, task.index, task.attempt, machine.id));
+}
+
 // Removes the entries that the newest heartbeat does not list and that are proven gone, then those of the ended tasks.
 void ClusterState::remove_gone(Machine& machine, const Heartbeat& heartbeat, std::uint64_t heartbeat_seq,
                                const std::vector<EndedTask>& ended) {
--- a/src/cluster/orders.cpp
+++ b/src/cluster/orders.cpp
@@ -117,12 +117,16 @@
     if (machine->heartbeat_request_in_flight)
         return request_answered(*machine, command);
     queue_for_orders(*machine);
-    if (command.status == http_status::ok && heartbeat && heartbeat->agent_epoch == machine->agent_epoch)
+    if (command.status == http_status::ok && heartbeat && heartbeat->agent_epoch == machine->agent_epoch) {
+        ++counters_.batches_executed;
         orders_executed(*machine, *heartbeat);
-    else if (proves_not_executed(command))
+    } else if (proves_not_executed(command)) {
+        ++(command.sent ? counters_.batches_refused : counters_.batches_not_sent);
         orders_not_executed(*machine, command);
-    else
+    } else {
+        ++counters_.batches_unknown;
         orders_outcome_unknown(*machine);
+    }
 }
 
 void ClusterState::request_answered(Machine& machine, const OrdersAnswered& command) {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -204,6 +204,8 @@
         {"heronshift_lost_total", "tasks lost with their machine in this term", as_double(counters.lost)},
         {"heronshift_preempted_total", "tasks stopped for others in this term", as_double(counters.preempted)},
         {"heronshift_moved_total", "tasks moved in this term", as_double(counters.moved)},
+        {"heronshift_tasks_reappeared_total", "that had been proven gone, in this term",
+         as_double(counters.tasks_reappeared)},
         {"heronshift_passes_total", "of placement over all that waits, in this term", as_double(cluster_.passes())},
         {"heronshift_commits_total", "transactions in this term", as_double(records_.committed_count())},
         {"heronshift_machines_deaf", "that report and do not hear", as_double(machines.inbound_unreachable)},
@@ -215,6 +217,15 @@
          "copies, in this term",
          as_double(counters.heartbeats_of_gone_machines),
          {{"why", "machine gone"}}}};
+    const std::pair<const char*, std::uint64_t> batches[] = {{"executed", counters.batches_executed},
+                                                             {"refused", counters.batches_refused},
+                                                             {"not sent", counters.batches_not_sent},
+                                                             {"unknown", counters.batches_unknown}};
+    for (const auto& [outcome, count] : batches)
+        out.push_back({"heronshift_order_batches_total",
+                       "of orders sent to machines in this term",
+                       as_double(count),
+                       {{"outcome", outcome}}});
     constexpr const char* help = "seconds since the oldest job of which nothing runs was ready";
     for (const auto& [name, wait_s] : waits.by_class)
         out.push_back({"heronshift_oldest_wait_seconds", help, wait_s, {{"class", name}}});
--- a/src/workers/heartbeat_handler.cpp
+++ b/src/workers/heartbeat_handler.cpp
@@ -59,6 +59,26 @@
                   heartbeat.agent_epoch, heartbeat.counter, heartbeat.fencing_token, route);
 }
 
+std::ptrdiff_t count_of(Verb verb, const std::vector<Order>& orders) {
+    return std::count_if(orders.begin(), orders.end(), [verb](const Order& order) { return order.verb == verb; });
+}
+
+void log_sent(const SendOrders& orders, std::string_view route) {
+    spdlog::debug("orders sent machine={} epoch={} fencing_token={} batch={} launches={} stops={} route={}",
+                  orders.machine, orders.agent_epoch, orders.fencing_token, orders.batch,
+                  count_of(Verb::launch, orders.orders), count_of(Verb::stop, orders.orders), route);
+}
+
+void log_answered(const OrdersAnswered& answer) {
+    spdlog::debug("orders answered machine={} batch={} status={} sent={} counter={}", answer.machine, answer.batch,
+                  answer.status, answer.sent, answer.heartbeat ? answer.heartbeat->counter : 0);
+}
+
+void log_heartbeat_answered(const std::string& machine, const AnswerHeartbeat& answer) {
+    spdlog::debug("heartbeat answered machine={} status={} fencing_token={} stops={} reaps={}", machine, answer.status,
+                  answer.fencing_token, count_of(Verb::stop, answer.orders), count_of(Verb::reap, answer.orders));
+}
+
 } // namespace
 
 HeartbeatHandler::HeartbeatHandler(const Settings& settings, TimerQueue& timers, Executor& executor, Peers& peers,
@@ -296,6 +316,7 @@
     const auto heartbeat = std::move(it->second);
     unanswered_heartbeats_.erase(it);
     timings_.heartbeat.add(timers_.now() - heartbeat.since);
+    log_heartbeat_answered(heartbeat.machine, effect);
     record_launches(effect.orders);
     const bool taken = effect.status == http_status::ok;
     // The core refuses a late copy of a heartbeat; such a copy says nothing about the present state of its path.
@@ -320,9 +341,13 @@
 
 void HeartbeatHandler::send(const SendOrders& effect, std::function<void(OrdersAnswered&&)> done) {
     record_launches(effect.orders);
-    if (const auto peer = relay_peer_for(effect); peer)
+    if (const auto peer = relay_peer_for(effect); peer) {
+        log_sent(effect, *peer);
         return send_through(*peer, effect, std::move(done));
+    }
+    log_sent(effect, "direct");
     executor_.command(effect, settings_.report_s / 2, [this, done = std::move(done)](OrdersAnswered&& command) {
+        log_answered(command);
         if (command.status != http_status::no_answer)
             membership_.machine_answered();
         done(std::move(command));
@@ -342,6 +367,7 @@
         } else if (reply.status == http_status::service_unavailable) {
             command.sent = false; // 503: the peer certainly did not forward the orders
         }
+        log_answered(command);
         done(std::move(command));
     };
     peers_.request(PeerRequestClass::relays, peer, "POST", std::string(path_peer_relay) + effect.addr,
