A late copy of a launch starts no task again

One leader under one token all the time.

Cause: an agent ignores a launch of an attempt that it lists, and a reap removes the attempt from that list. The launch still named the agent's present token and agent epoch, so nothing at the machine spoke against a copy. safety.md 4 answered "each launch is sent once", but the network may deliver more than once what was sent once. Class: a right that does not lapse when what it was given for has ended.

Change: a reap carries a higher fencing token than any launch sent to its machine before (Machine::launch_token, rules_out_earlier_launches, prepare_reaps), so the agent that carries out the reap refuses all copies from then on, by its own check: however late, direct or relayed, and whoever leads then. One increment serves all reaps until the next launch. The token would make the agent refuse a batch that is on its way, so reaps wait for a later heartbeat while there is one; no order is refused because of a reap, and the store gets no further write.

--- a/include/heronshift/executor/executor.hpp
+++ b/include/heronshift/executor/executor.hpp
@@ -5,7 +5,9 @@
 ///
 /// An executor only transports messages. Whether an order may be given, and what a missing answer means, is decided in
 /// src/cluster. So an executor must report only what it knows for certain: a lost answer is reported as no answer, not
-/// as a refusal.
+/// as a refusal. A machine must refuse orders, and ignore answers to its heartbeats, whose fencing token is lower than
+/// the highest one that it has seen or whose agent epoch is not its own: the network may deliver orders more than once,
+/// and a late copy of a launch must not start a task that was reaped meanwhile.
 /// All functions and callbacks are called on the loop's thread. Every callback is called exactly once, possibly before
 /// the function returns, and at the latest when the timeout expires or the executor is destroyed. Nothing throws.
 #pragma once
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -165,6 +165,8 @@
         std::uint64_t stale_heartbeats = 0;
         /// Heartbeats of machines that were released to the cloud.
         std::uint64_t heartbeats_of_gone_machines = 0;
+        /// Reaps that waited for a batch of orders, and fencing tokens that were incremented in order to send reaps.
+        std::uint64_t reaps_deferred = 0, reap_tokens = 0;
         /// Batches of orders by outcome: the machine carried them out or refused them, they were never sent, or their
         /// outcome is unknown.
         std::uint64_t batches_executed = 0, batches_refused = 0, batches_not_sent = 0, batches_unknown = 0;
@@ -260,6 +262,7 @@
     static void note_route(Machine& machine, const HeartbeatReceived& command);
     [[nodiscard]] bool answer_was_missed(Machine& machine, const Heartbeat& heartbeat) const;
     static void request_inbound_proof(Machine& machine, const Heartbeat& heartbeat);
+    void prepare_reaps(Machine& machine, std::vector<Order>& orders);
     void acknowledge(Machine& machine, const Heartbeat& heartbeat, bool overtaken);
     std::vector<Order> repeated_stop_orders(Machine& machine);
 
--- a/src/cluster/gone_proof.cpp
+++ b/src/cluster/gone_proof.cpp
@@ -44,6 +44,10 @@
     return answer.status == http_status::conflict || !answer.sent;
 }
 
+bool rules_out_earlier_launches(const Machine& machine) {
+    return machine.fencing_token > machine.launch_token;
+}
+
 double lease_surely_expires_after_s(const Settings& settings) {
     return settings.lease_s * clock_drift + settings.report_s * lease_margin_heartbeats;
 }
--- a/src/cluster/gone_proof.hpp
+++ b/src/cluster/gone_proof.hpp
@@ -54,6 +54,11 @@
 /// `GoneProof.OnlyARefusalOrOrdersThatWereNeverSentAreSurelyNotExecuted`).
 [[nodiscard]] bool proves_not_executed(const OrdersAnswered& answer);
 
+/// Orders with the machine's present fencing token make the agent refuse every launch that was sent to it so far. A
+/// reap must not be sent without that: the agent forgets the attempt, so a late copy of its launch would start it again
+/// (safety.md 31; `LateCopies`, `Core.AReapRulesOutLateCopiesOfTheLaunch`).
+[[nodiscard]] bool rules_out_earlier_launches(const Machine& machine);
+
 /// Seconds after which a lease that is granted or renewed now has certainly expired on the machine, which measures it
 /// with its own clock.
 [[nodiscard]] double lease_surely_expires_after_s(const Settings& settings);
--- a/src/cluster/heartbeats.cpp
+++ b/src/cluster/heartbeats.cpp
@@ -102,6 +102,7 @@
     apply_heartbeat(machine, heartbeat, orders);
     update_inbound_reachability(machine, heartbeat);
     request_inbound_proof(machine, heartbeat);
+    prepare_reaps(machine, orders);
     acknowledge(machine, heartbeat, overtaken);
     // The reply to an empty batch of orders proves that the machine has seen this term.
     if (!machine.term_seen)
@@ -339,6 +340,20 @@
         ++machine.fencing_token;
 }
 
+// Sends reaps only with a token that rules out all launches sent so far. An incremented token would make the agent
+// refuse a batch of orders that is still on its way, so the reaps wait for a later heartbeat while there is one.
+void ClusterState::prepare_reaps(Machine& machine, std::vector<Order>& orders) {
+    const auto is_reap = [](const Order& order) { return order.verb == Verb::reap; };
+    if (rules_out_earlier_launches(machine) || std::none_of(orders.begin(), orders.end(), is_reap))
+        return;
+    if (machine.batch != 0 && !machine.heartbeat_request_in_flight) {
+        counters_.reaps_deferred += std::erase_if(orders, is_reap);
+        return;
+    }
+    ++machine.fencing_token;
+    ++counters_.reap_tokens;
+}
+
 // The stop orders for the machine's tasks. They are repeated with each answer to a heartbeat until the tasks have
 // ended.
 std::vector<Order> ClusterState::repeated_stop_orders(Machine& machine) {
--- a/src/cluster/machine.hpp
+++ b/src/cluster/machine.hpp
@@ -65,6 +65,8 @@
     /// The highest fencing token sent with orders. If the machine shows this token or a lower one, it may have received
     /// it with an order or with an answer to a heartbeat.
     std::uint64_t ordered_token = 0;
+    /// The highest fencing token that was sent with a launch.
+    std::uint64_t launch_token = 0;
     /// When one of the machine's heartbeats was last answered, and whether another controller had relayed the
     /// heartbeat.
     double last_answered_at = -1;
--- a/src/cluster/orders.cpp
+++ b/src/cluster/orders.cpp
@@ -69,10 +69,10 @@
             queue_for_orders(machine);
             continue;
         }
-        // Each launch is sent only once: if it were repeated after the task had been reaped, the task would start again
-        // (docs/safety.md, 4).
+        // Each launch is sent only once; copies that the network makes of it are ruled out by `prepare_reaps`
+        // (docs/safety.md, 4 and 31).
         entry.phase = Phase::sent;
-        entry.fencing_token = machine.fencing_token;
+        entry.fencing_token = machine.launch_token = machine.fencing_token;
         ++counters_.launched;
         orders.push_back({Verb::launch, entry.job->spec.id, entry.index, entry.attempt, 0});
     }
