A task that fails everywhere leaves the machines in use

Cause: once any task of a job had succeeded, one failure of another one was enough to blame the machine, and the job's pauses applied only to jobs without any success. Task::failures was counted and never read. Class: evidence against one party that the other one explains as well.

Change: a task that fails a second time, on another machine, is faulty itself: no machine is blamed for it, and its next attempt waits (report_s, doubled with each failure, three leases at the most) in RetryQueue, while the other tasks of the job go on. While a job has such a task, its other tasks alone take no machine out of use. A gang waits as a whole.

--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -9,6 +9,7 @@
 #include "cluster/dependency_tracker.hpp"
 #include "cluster/order_queues.hpp"
 #include "cluster/proposals.hpp"
+#include "cluster/retry_queue.hpp"
 
 #include <optional>
 
@@ -80,6 +81,8 @@
     /// Marks machines whose lease has certainly expired as lost, and removes machines that are not up and no
     /// longer listed.
     void expire_leases();
+    /// Queues the faulty tasks whose next attempt is due.
+    void queue_due_retries();
 
     // Proposals of policies, see proposals.hpp.
     bool place(const Job& job, const Machine& machine) override;
@@ -222,6 +225,9 @@
     void task_failed(Entry& entry);
     void task_refused(Entry& entry);
     void back_off_job(Job& job);
+    void back_off_task(Job& job, std::uint32_t index);
+    [[nodiscard]] double retry_pause_s(int doublings) const;
+    void exonerate_machines(const Job& job);
     void record_machine_failure(Machine& machine, const Job& job);
 
     // machine_lifecycle.cpp: machine properties, rentals, releases and the cloud's list of machines
@@ -303,6 +309,7 @@
     DepartedMachines departed_;
     std::size_t releases_in_flight_ = 0; // number of machines
     double stale_heartbeats_logged_at_ = -1e18;
+    RetryQueue retries_;
     DispatchQueue dispatch_queue_;
     HeartbeatRequests heartbeat_requests_;
     std::unordered_map<std::string, int> image_ids_;
--- a/src/cluster/entries.cpp
+++ b/src/cluster/entries.cpp
@@ -200,8 +200,13 @@
     ++job.error_streak;
     if (task.failures < max_failures_counted)
         ++task.failures;
-    if (!job.had_success && job.error_machines.size() >= job_fault_machines)
+    if (task.failures == Task::min_failures_of_faulty_task)
+        ++job.faulty_tasks;
+    const bool job_is_faulty = !job.had_success && job.error_machines.size() >= job_fault_machines;
+    if (job_is_faulty || (task.faulty() && job.spec.shape == Shape::gang))
         back_off_job(job);
+    else if (task.faulty())
+        back_off_task(job, entry.index);
     else
         record_machine_failure(machine, job);
 }
@@ -209,8 +214,36 @@
 // Delays the next attempt of a faulty job with exponential backoff. Its failures do not count against any machine
 // (docs/safety.md, 13).
 void ClusterState::back_off_job(Job& job) {
-    const double pause_s = data_.settings.report_s * (1 << std::min(job.error_streak, max_retry_doublings));
-    job.not_before = data_.now + std::min(data_.settings.lease_s * max_retry_pause_leases, pause_s);
+    job.not_before = data_.now + retry_pause_s(job.error_streak);
+    exonerate_machines(job);
+}
+
+// The same for a single faulty task, so that the other tasks of its job do not wait.
+void ClusterState::back_off_task(Job& job, std::uint32_t index) {
+    auto& task = job.tasks[index];
+    task.awaits_retry = true;
+    const int doublings = task.failures - Task::min_failures_of_faulty_task;
+    retries_.add(job.spec.id, index, data_.now + retry_pause_s(doublings));
+    exonerate_machines(job);
+}
+
+void ClusterState::queue_due_retries() {
+    while (const auto retry = retries_.take_due(data_.now)) {
+        auto* job = find_job(retry->job);
+        if (job == nullptr || job->over())
+            continue;
+        job->tasks[retry->index].awaits_retry = false;
+        job->queue_task(retry->index);
+        needs_scheduling_ = true;
+    }
+}
+
+double ClusterState::retry_pause_s(int doublings) const {
+    const double pause_s = data_.settings.report_s * (1 << std::min(doublings, max_retry_doublings));
+    return std::min(data_.settings.lease_s * max_retry_pause_leases, pause_s);
+}
+
+void ClusterState::exonerate_machines(const Job& job) {
     for (const auto& id : job.error_machines)
         if (auto* machine = find_machine(id); machine != nullptr)
             machine->failed_jobs.erase(job.spec.id);
@@ -219,7 +252,8 @@
 void ClusterState::record_machine_failure(Machine& machine, const Job& job) {
     machine.failed_jobs.insert(job.spec.id);
     machine.avoid_at_least_until(data_.now + data_.settings.lease_s);
-    if (machine.out_of_service || (machine.failed_jobs.size() < machine_fault_jobs && !job.had_success))
+    const bool job_is_reliable = job.had_success && job.faulty_tasks == 0;
+    if (machine.out_of_service || (machine.failed_jobs.size() < machine_fault_jobs && !job_is_reliable))
         return;
     machine.out_of_service = true;
     log(LogLine::Level::warning, fmt::format("machine {} fails its tasks, taken out of use", machine.id));
--- a/src/cluster/job.cpp
+++ b/src/cluster/job.cpp
@@ -11,7 +11,7 @@
 
 void Job::queue_task(std::uint32_t index) {
     auto& task = tasks[index];
-    if (task.queued || task.done || task.live > 0)
+    if (task.queued || task.done || task.live > 0 || task.awaits_retry)
         return;
     task.queued = true;
     // A task that is queued again was placed early, so its position is near the front.
@@ -44,6 +44,8 @@
     ++done;
     had_success = true;
     error_streak = 0;
+    if (tasks[index].faulty())
+        --faulty_tasks;
     unstored.push_back(index);
     if (spec.shape == Shape::gang && done < spec.tasks) {
         for (auto& task : tasks)
--- a/src/cluster/job.hpp
+++ b/src/cluster/job.hpp
@@ -27,6 +27,8 @@
     bool stored = false;
     /// The task's index is in `Job::pending`.
     bool queued = false;
+    /// The task failed repeatedly and waits in `ClusterState::retries_`; it is not queued before that.
+    bool awaits_retry = false;
     /// Number of entries of the task, that is, of machines that it may be on.
     std::uint8_t live = 0;
     /// Number of attempts that ended with an error.
@@ -35,6 +37,12 @@
     std::uint8_t slow_detections = 0;
     /// Estimated seconds of the task's run time whose progress is known to be saved.
     float saved_s = 0;
+
+    /// The task failed on several machines, so the task is considered faulty, and not the machines.
+    [[nodiscard]] bool faulty() const {
+        return failures >= min_failures_of_faulty_task;
+    }
+    static constexpr std::uint8_t min_failures_of_faulty_task = 2; // a machine is avoided after a failure
 };
 
 /// A job and what the leader knows about its tasks.
@@ -102,6 +110,8 @@
     int error_streak = 0;
     std::set<std::string> error_machines;
     bool had_success = false;
+    /// Number of tasks that are faulty and not done.
+    std::uint32_t faulty_tasks = 0;
     /// Number of attempts that ran to completion without interruption, the longest run and the sum of the runs in
     /// seconds.
     std::uint32_t runs = 0;
@@ -126,7 +136,8 @@
     /// done and has no other entry, and a gang's attempt is the current one. The index must be valid.
     [[nodiscard]] bool wants_attempt(std::uint32_t index, std::uint64_t attempt) const;
     /// Inserts a task into `pending`, which is sorted by index so that the order in which heartbeats arrive does not
-    /// determine which task is placed next. Does nothing for a task that is queued, done or possibly on a machine.
+    /// determine which task is placed next. Does nothing for a task that is queued, done, possibly on a machine or
+    /// waiting for a retry.
     void queue_task(std::uint32_t index);
     /// Counts a new entry of a task; `zone_index` is the index of the machine's zone in `zone_live`.
     void count_entry(std::uint32_t index, std::size_t zone_index, bool on_pool_machine);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -129,6 +129,7 @@
 void Core::tick(double now) {
     next_tick_ = now + settings_.report_s / ticks_per_heartbeat;
     cluster_.expire_leases();
+    cluster_.queue_due_retries();
     placement_.stop_on_reclaimed_machines();
     placement_.check_slow_machines();
     autoscaler_.check_silent_machines();
--- a/tests/machines.hpp
+++ b/tests/machines.hpp
@@ -86,7 +86,8 @@
     std::map<std::string, JobSpec> jobs;
     std::map<std::string, double> cancelled; // when the user was told, by job
     std::set<std::string> done_tasks;
-    int starts_at_limit = 0; // starts after which the team's limit leaves no room for another such task
+    std::set<std::string> faulty_tasks; // tasks that fail on every machine, as JOB/INDEX
+    int starts_at_limit = 0;            // starts after which the team's limit leaves no room for another such task
     int started = 0,
         cancelled_launches = 0; // `cancelled_launches`: launches after the user was told of the cancellation
     std::vector<std::string> violations;
@@ -203,7 +204,7 @@
             return;
         for (auto& t : w.tasks) {
             if (t.state == TaskState::fetching && now >= t.until) {
-                if (w.sick) {
+                if (w.sick || (!faulty_tasks.empty() && faulty_tasks.contains(fmt::format("{}/{}", t.job, t.index)))) {
                     t.state = TaskState::ended;
                     t.cause = ExitCause::error;
                     continue;
--- a/tests/test_simulated_cluster.cpp
+++ b/tests/test_simulated_cluster.cpp
@@ -77,6 +77,42 @@
         EXPECT_EQ(cluster.final_states[fmt::format("wk-{:06}", i)], codec::status_done) << i;
 }
 
+// Returns the number of machines that were taken out of use within 100 s after a job came one of whose tasks, the
+// `faulty` one, fails on every machine.
+std::size_t machines_out_of_use(unsigned seed, std::uint32_t tasks, std::uint32_t faulty) {
+    SimulatedCluster cluster(seed);
+    cluster.capacity = 12;
+    cluster.acquire_leadership();
+    cluster.submit(job(1, Shape::service, 3, 1, "blue"));
+    cluster.run(20);
+    cluster.faulty_tasks = {fmt::format("wk-000002/{}", faulty)};
+    cluster.submit(job(2, Shape::array, tasks, 1));
+    cluster.run(10);
+    cluster.submit(job(3, Shape::array, 10, 2));
+    std::set<std::string> out_of_use;
+    for (const double end = cluster.now + 90; cluster.now < end && cluster.violations.empty();) {
+        cluster.step();
+        for (const auto& [id, machine] : cluster.core->state().machines)
+            if (machine->out_of_service)
+                out_of_use.insert(id);
+    }
+    EXPECT_EQ(first_violation(cluster), "") << seed;
+    EXPECT_EQ(cluster.final_states["wk-000003"], codec::status_done) << seed;
+    EXPECT_EQ(cluster.core->view("wk-000002")->done, tasks - 1) << seed;
+    EXPECT_EQ(cluster.core->view("wk-000001")->running, 3U) << seed;
+    return out_of_use.size();
+}
+
+// Guards against a task that fails everywhere and takes one machine after the other out of use, with all that runs
+// there.
+TEST(SimulatedCluster, ATaskThatFailsEverywhereLeavesTheMachinesInUse) {
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        EXPECT_EQ(machines_out_of_use(seed, 10, 3), 0U) << seed;
+        // Begins when others are done, so that its first machine looks faulty.
+        EXPECT_LE(machines_out_of_use(seed, 60, 59), 1U) << seed;
+    }
+}
+
 // Returns how many of ten tasks were restarted, where the first takes `first_s` and the others take 5 s. Guards against
 // restarting a long task on other machines forever: neither its job nor the jobs that depend on it would ever end.
 int count_restarts(double first_s) {
