--- a/tests/test_late_copies.cpp
+++ b/tests/test_late_copies.cpp
@@ -175,6 +175,30 @@
     }
 }
 
+// Guards against a copy of a transaction that the store refused: the leader has other plans by the time it is applied.
+TEST(LateCopies, OfRefusedTransactionsAreNotTakenForLaterOnes) {
+    for (unsigned seed = 1; seed <= copy_seeds; ++seed) {
+        FaultyFleet f(980 + seed);
+        ASSERT_TRUE(f.settle(40)) << seed;
+        f.late_copies.share = 1;
+        f.late_copies.longest_s = 3;
+        f.late_copies.shortest_s = 0.1;
+        f.late_copies.on_link = [](const std::string&, const std::string& to) { return to == Fleet::state; };
+        f.poll_after_changes = true;
+        f.on_step = [&f] {
+            if (f.due_every(2))
+                cancel_random_jobs(f, 0.2);
+            if (f.due_every(5))
+                begin_store_outage(f, f.between(0.3, 2));
+            if (f.due_every(19))
+                crash_leader(f);
+        };
+        f.run_under_load(120);
+        EXPECT_EQ(f.violation(), "") << seed;
+        EXPECT_EQ(f.run_final_checks(), "") << seed;
+    }
+}
+
 // Guards against a late copy of any answered message, on any link, that breaks a rule together with other faults.
 TEST(LateCopiesSoak, NoRuleIsBroken) {
     for (unsigned seed = 1; seed <= (sanitized ? 1U : 4U); ++seed) {
