--- a/src/cluster/heartbeats.cpp
+++ b/src/cluster/heartbeats.cpp
@@ -3,6 +3,7 @@
 
 #include "cluster/gone_proof.hpp"
 #include "http_status.hpp"
+#include "protocol_times.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -14,8 +15,6 @@
 
 // A machine counts as unreachable after this many missed answers. A single one may be lost in normal operation.
 constexpr int max_missed_answers = 2;
-// The protocol's timeout for the answer to a heartbeat.
-constexpr double heartbeat_answer_timeout_s = 4;
 
 // Heartbeats that arrive at shorter intervals than this were delayed in transit: a machine sends its next heartbeat
 // only after it has received the answer to the last one or waited for it until the timeout.
--- a/src/local/cloud.cpp
+++ b/src/local/cloud.cpp
@@ -2,6 +2,7 @@
 
 #include "heronshift/codec.hpp"
 #include "heronshift/loop_queue.hpp"
+#include "protocol_times.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -10,7 +11,7 @@
 namespace {
 
 constexpr std::uint64_t tick_ms = 20, ticks_per_sweep = 5, ticks_per_second = 50;
-constexpr double heartbeat_timeout_s = 4, next_node_delay_s = 1, min_heartbeat_interval_s = 0.5;
+constexpr double next_node_delay_s = 1, min_heartbeat_interval_s = 0.5;
 
 std::string error_body(const std::string& what) {
     return codec::Json{{"error", what}}.dump();
@@ -245,7 +246,7 @@
     auto copy = [this, body = codec::to_body(heartbeat)] {
         const auto& nodes = plan_.workers.nodes;
         client_.request(nodes[ticks_ % nodes.size()].second, "POST", std::string(codec::path_heartbeat), body,
-                        heartbeat_timeout_s, [](HttpReply&&) {});
+                        heartbeat_answer_timeout_s, [](HttpReply&&) {});
     };
     auto on_reply = [done = std::move(done)](HttpReply&& reply) {
         HeartbeatResponse a;
@@ -261,7 +262,7 @@
         done(a);
     };
     client_.request(plan_.workers.nodes[w.node_].second, "POST", std::string(codec::path_heartbeat),
-                    codec::to_body(heartbeat), heartbeat_timeout_s,
+                    codec::to_body(heartbeat), heartbeat_answer_timeout_s,
                     late_copies_->copying(std::move(on_reply), std::move(copy)));
 }
 
--- a/src/workers/heartbeat_handler.cpp
+++ b/src/workers/heartbeat_handler.cpp
@@ -3,6 +3,7 @@
 #include "heronshift/codec.hpp"
 #include "http_status.hpp"
 #include "memory_share.hpp"
+#include "protocol_times.hpp"
 
 #include <algorithm>
 #include <spdlog/spdlog.h>
@@ -10,8 +11,6 @@
 namespace heronshift::workers {
 namespace {
 
-// How long a machine waits for the answer to a heartbeat, as the protocol prescribes.
-constexpr double heartbeat_answer_timeout_s = 4;
 // The longest time that a machine spends at one controller before it tries the next: it waits for the answer and then
 // for one more second, and its heartbeat takes time to arrive.
 constexpr double max_controller_attempt_s = heartbeat_answer_timeout_s * 3 / 2;
