Requests that are too long are logged and counted; debug lines name the tasks of a machine

A body beyond 64 KiB was answered 400 "malformed request" without a trace.

Change: such a request is answered 400 "the body is longer than 64 KiB", logged at most once a second with its path, and counted (`heronshift_oversized_requests_total`). The debug lines of heartbeats and of answered orders say how many tasks they list. The limit stands in protocol_limits.hpp.

RequestLength.ABodyBeyondTheLimitIsRefusedAndReported passes.

--- a/src/http.hpp
+++ b/src/http.hpp
@@ -99,6 +99,8 @@
     [[nodiscard]] std::size_t connections() const {
         return connections_.size();
     }
+    /// Called with the path of each request that is refused because its body is longer than max_request_body_bytes.
+    std::function<void(std::string_view path)> on_oversized_request;
 
 private:
     friend class ServerConnection;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http.hpp"
 
 #include "http_status.hpp"
+#include "protocol_limits.hpp"
 #include "socket.hpp"
 
 #include <fmt/format.h>
@@ -8,7 +9,6 @@
 namespace heronshift {
 namespace {
 
-constexpr std::size_t max_body_bytes = 64UL * 1024;
 constexpr std::size_t max_url_bytes = 16UL * 1024;
 constexpr int listen_backlog = 512;
 // Retry-After for requests that are refused because there are too many connections.
@@ -137,13 +137,28 @@
             return;
         }
         if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0 || used != static_cast<std::size_t>(n))
-            return reject_malformed();
+            return is_oversized() ? reject_oversized() : reject_malformed();
+    }
+
+    [[nodiscard]] bool is_oversized() const {
+        return request_.body.size() > max_request_body_bytes;
+    }
+
+    void reject_oversized() {
+        if (server_ != nullptr && server_->on_oversized_request)
+            server_->on_oversized_request(std::string_view(url_).substr(0, url_.find('?')));
+        reject(R"({"error":"the body is longer than 64 KiB"})");
     }
 
     void reject_malformed() {
+        reject(R"({"error":"malformed request"})");
+    }
+
+    // Answers 400 to what was received, and closes the connection.
+    void reject(std::string_view body) {
         busy_ = true;
         keep_ = false;
-        respond(http_status::bad_request, R"({"error":"malformed request"})", 0);
+        respond(http_status::bad_request, body, 0);
     }
 
     void complete() {
@@ -185,7 +200,7 @@
         s.on_body = [](http_parser* p, const char* at, std::size_t n) {
             auto* connection = static_cast<ServerConnection*>(p->data);
             connection->request_.body.append(at, n);
-            return connection->request_.body.size() > max_body_bytes ? 1 : 0;
+            return connection->is_oversized() ? 1 : 0;
         };
         s.on_message_complete = [](http_parser* p) {
             http_parser_pause(p, 1);
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr double oversized_log_interval_s = 1;
+
 spdlog::level::level_enum level_of(const LogLine& line) {
     switch (line.level) {
     case LogLine::Level::debug:
@@ -244,6 +246,15 @@
     res.send(http_status::not_found, codec::error_answer("no such path"));
 }
 
+// A worker whose heartbeat is too long repeats it every second, so only one line a second is logged.
+void Controller::record_oversized_request(std::string_view path) {
+    ++timings_.oversized_requests;
+    if (timers_.now() < next_oversized_log_at_)
+        return;
+    next_oversized_log_at_ = timers_.now() + oversized_log_interval_s;
+    spdlog::warn("request rejected reason=\"body too long\" path={} total={}", path, timings_.oversized_requests);
+}
+
 void Controller::serve_health(const Responder& res) const {
     if (types().empty() || !membership_.can_serve_users())
         return res.send(http_status::service_unavailable, codec::not_now, default_retry_after_s);
@@ -285,6 +296,8 @@
                       static_cast<double>(timings_.relayed_by_others)});
     values.push_back({"heronshift_requests_total", "from users and workers", static_cast<double>(timings_.requests)});
     values.push_back({"heronshift_refused_total", "requests sent away for now", static_cast<double>(timings_.refused)});
+    values.push_back({"heronshift_oversized_requests_total", "requests refused because of their length",
+                      static_cast<double>(timings_.oversized_requests)});
     const std::pair<const char*, std::uint64_t> answers[] = {{"memory", timings_.answers_from_memory},
                                                              {"remembered final state", timings_.answers_from_cache},
                                                              {"final state", timings_.answers_from_finals},
--- a/src/node/controller.hpp
+++ b/src/node/controller.hpp
@@ -62,6 +62,8 @@
     void serve(HttpRequest&& request, const Responder& res);
     /// Handles a request of another controller, whose path begins with peer_prefix.
     void serve_peer(HttpRequest&& request, const Responder& res);
+    /// Counts and logs a request to this path that was refused because its body is too long.
+    void record_oversized_request(std::string_view path);
 
     [[nodiscard]] const Settings& settings() const {
         return settings_;
@@ -154,6 +156,7 @@
     std::unique_ptr<Core> core_;
     std::uint64_t core_generation_ = 0; // incremented when `core_` changes, to drop answers for an earlier core
     std::vector<Command> queue_;
+    double next_oversized_log_at_ = 0;
     bool running_core_ = false;
     std::unique_ptr<replay::CommandLog> log_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,6 +77,8 @@
     peers_ = std::make_unique<HttpServer>(
         loop_, fds_in_share(settings, peers_share), idle_s,
         [this](HttpRequest&& request, const Responder& res) { controller_.serve_peer(std::move(request), res); });
+    for (auto* server : {users_.get(), peers_.get()})
+        server->on_oversized_request = [this](std::string_view path) { controller_.record_oversized_request(path); };
     for (const auto& [server, endpoint] :
          {std::pair{users_.get(), &settings.listen}, std::pair{peers_.get(), &settings.peer_listen}})
         if (!endpoint->host.empty())
--- a/src/workers/heartbeat_handler.cpp
+++ b/src/workers/heartbeat_handler.cpp
@@ -54,8 +54,8 @@
 
 // Logs the fields of a heartbeat that matter for its routing, and what is done with the heartbeat.
 void log_route(const Heartbeat& heartbeat, std::string_view route) {
-    spdlog::debug("heartbeat machine={} epoch={} counter={} fencing_token={} route={}", heartbeat.machine,
-                  heartbeat.agent_epoch, heartbeat.counter, heartbeat.fencing_token, route);
+    spdlog::debug("heartbeat machine={} epoch={} counter={} fencing_token={} tasks={} route={}", heartbeat.machine,
+                  heartbeat.agent_epoch, heartbeat.counter, heartbeat.fencing_token, heartbeat.tasks.size(), route);
 }
 
 std::ptrdiff_t count_of(Verb verb, const std::vector<Order>& orders) {
@@ -69,8 +69,10 @@
 }
 
 void log_answered(const OrdersAnswered& answer) {
-    spdlog::debug("orders answered machine={} batch={} status={} sent={} counter={}", answer.machine, answer.batch,
-                  answer.status, answer.sent, answer.heartbeat ? answer.heartbeat->counter : 0);
+    const auto& heartbeat = answer.heartbeat;
+    spdlog::debug("orders answered machine={} batch={} status={} sent={} counter={} tasks={}", answer.machine,
+                  answer.batch, answer.status, answer.sent, heartbeat ? heartbeat->counter : 0,
+                  heartbeat ? heartbeat->tasks.size() : 0);
 }
 
 void log_heartbeat_answered(const std::string& machine, const AnswerHeartbeat& answer) {
--- a/tests/test_connections.cpp
+++ b/tests/test_connections.cpp
@@ -3,6 +3,7 @@
 #include "heronshift/codec.hpp"
 #include "http.hpp"
 #include "loop_timer.hpp"
+#include "protocol_limits.hpp"
 
 #include "loop.hpp"
 
@@ -183,6 +184,30 @@
         ::close(fd);
 }
 
+// A body of the longest allowed length is served; one byte more is refused, and the refusal can be seen.
+TEST(RequestLength, ABodyBeyondTheLimitIsRefusedAndReported) {
+    Loop l;
+    std::vector<std::size_t> served;
+    std::vector<std::string> refused;
+    HttpServer server(&l.loop, 4, 60, [&](HttpRequest&& request, const Responder& res) {
+        served.push_back(request.body.size());
+        res.send(200, "{}");
+    });
+    server.on_oversized_request = [&](std::string_view path) { refused.emplace_back(path); };
+    ASSERT_EQ(server.listen({"127.0.0.1", 0}), 0);
+    HttpClient client(&l.loop, 1, 4);
+    for (const auto length : {max_request_body_bytes, max_request_body_bytes + 1}) {
+        int status = -1;
+        client.request(fmt::format("127.0.0.1:{}", server.port()), "POST", "/agent/beat?x=1", std::string(length, 'x'),
+                       5, [&](HttpReply&& reply) { status = reply.status; });
+        for (const double end = seconds() + 10; status < 0 && seconds() < end;)
+            l.turn();
+        EXPECT_EQ(status == 200, length == max_request_body_bytes) << status;
+    }
+    EXPECT_EQ(served, std::vector<std::size_t>{max_request_body_bytes});
+    EXPECT_EQ(refused, std::vector<std::string>{"/agent/beat"});
+}
+
 TEST(Connections, AClientKeepsToItsLimitOverAllAddresses) {
     constexpr std::size_t addresses = 30, limit = 5;
     Loop l;
