A machine gets no more tasks than its heartbeat can list

One machine has CPUs and memory for all 1,200; its heartbeat would take 75,000 bytes, no request may have more than 64 KiB, so it never reports; its lease ends, all is lost and is placed there once more.

Cause: nothing counted how long a machine's heartbeat becomes.

The stand-in's record says "cannot report, its 1200 tasks take 74235 bytes".

Change: the list of a heartbeat is one more resource, `Resources::heartbeat_bytes`, of tasks and of machine types, so that every path that asks whether something fits obeys it: placement, gangs, preemption, reservations, moves, the pool, rentals. A task takes the most that it can take in any state, with a space after each separator; some 690 tasks fit on a machine. Listed tasks without an entry count as well (`Machine::untracked_bytes`), so room is freed by the reap. A batch's machines share their choices as before while the heartbeat does not limit them. No message, record or setting changes.

Why it works: what a machine may list is at any time a part of its entries and of the untracked tasks of its newest heartbeat, and a new leader places nothing on a machine before it has such a heartbeat of its term (docs/safety.md, 32).

--- a/include/heronshift/codec.hpp
+++ b/include/heronshift/codec.hpp
@@ -123,6 +123,10 @@
 
 /// Encodes a heartbeat. This and the next two decoders are the worker's side of the protocol, for emulators.
 [[nodiscard]] std::string to_body(const Heartbeat& heartbeat);
+/// The most bytes that a task takes in the list of a heartbeat, whatever state it is in and why it ended, if its index
+/// and attempt are not above these. `may_save`: its progress may be saved when it is stopped.
+[[nodiscard]] std::size_t max_listed_task_bytes(std::string_view job, std::uint32_t index, std::uint64_t attempt,
+                                                bool may_save);
 struct Orders {
     std::optional<std::uint64_t> fencing_token, agent_epoch; ///< Empty if missing or not an unsigned integer.
     std::vector<Order> list;
--- a/include/heronshift/types.hpp
+++ b/include/heronshift/types.hpp
@@ -24,15 +24,20 @@
     double gpus = 0;
     /// Memory in GB.
     double memory_gb = 0;
+    /// Bytes in the list of tasks of a machine's heartbeat, whose length is limited. Set by the scheduler for tasks and
+    /// machine types; programs leave it at 0.
+    double heartbeat_bytes = 0;
 
     /// Adds each amount.
     Resources& operator+=(const Resources& resources) {
         cpus += resources.cpus, gpus += resources.gpus, memory_gb += resources.memory_gb;
+        heartbeat_bytes += resources.heartbeat_bytes;
         return *this;
     }
     /// Subtracts each amount; the result may be negative.
     Resources& operator-=(const Resources& resources) {
         cpus -= resources.cpus, gpus -= resources.gpus, memory_gb -= resources.memory_gb;
+        heartbeat_bytes -= resources.heartbeat_bytes;
         return *this;
     }
     /// The sum of each amount.
@@ -45,14 +50,14 @@
     }
     /// Multiplies each amount by `k`.
     friend Resources operator*(Resources resources, double k) {
-        return {resources.cpus * k, resources.gpus * k, resources.memory_gb * k};
+        return {resources.cpus * k, resources.gpus * k, resources.memory_gb * k, resources.heartbeat_bytes * k};
     }
     /// Whether each amount is at most that of `room`. Amounts are often decimal fractions, whose sums have rounding
     /// errors, so a small excess is tolerated.
     [[nodiscard]] bool fits(const Resources& room) const {
         constexpr double tolerance = 1e-6;
         return cpus <= room.cpus + tolerance && gpus <= room.gpus + tolerance &&
-               memory_gb <= room.memory_gb + tolerance;
+               memory_gb <= room.memory_gb + tolerance && heartbeat_bytes <= room.heartbeat_bytes + tolerance;
     }
 };
 
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -204,6 +204,7 @@
     Job* find_job(const std::string& id);
     [[nodiscard]] int team_index(const std::string& name) const;
     [[nodiscard]] double start_objective_s(const JobSpec& spec) const;
+    [[nodiscard]] double heartbeat_bytes_of_task(const JobSpec& spec) const;
     void store_cancellation(Job& job);
     void launch_settled(Job& job);
     void mark_done(Job& job, std::uint32_t index);
@@ -256,7 +257,7 @@
     std::vector<EndedTask> match_listed_tasks(Machine& machine, const Heartbeat& heartbeat, std::uint64_t heartbeat_seq,
                                               std::vector<Order>& orders);
     void handle_untracked_ended_task(const ReportedTask& task, std::vector<Order>& orders);
-    void adopt_untracked_task(Machine& machine, const ReportedTask& task, std::uint64_t heartbeat_seq,
+    bool adopt_untracked_task(Machine& machine, const ReportedTask& task, std::uint64_t heartbeat_seq,
                               std::vector<Order>& orders);
     void report_reappeared_task(const Machine& machine, const ReportedTask& task);
     void remove_gone(Machine& machine, const Heartbeat& heartbeat, std::uint64_t heartbeat_seq,
--- a/src/cluster/heartbeats.cpp
+++ b/src/cluster/heartbeats.cpp
@@ -33,6 +33,11 @@
            std::tie(machine.agent_epoch, machine.heartbeat_counter);
 }
 
+// The bytes that the task may take in the machine's heartbeats until it is reaped.
+double listed_bytes(const ReportedTask& task) {
+    return static_cast<double>(codec::max_listed_task_bytes(task.job, task.index, task.attempt, task.saved));
+}
+
 void doubt_inbound_reachability(Machine& machine, const Heartbeat& heartbeat) {
     machine.inbound_in_doubt = true;
     machine.token_at_doubt = std::max(machine.token_at_doubt, heartbeat.fencing_token);
@@ -193,14 +198,17 @@
 }
 
 // Updates the entries of the tasks that the heartbeat lists and sets their `last_listed_seq` to `heartbeat_seq`;
-// returns the tasks that have ended. For a listed task without an entry, adds an entry or an order.
+// returns the tasks that have ended. For a listed task without an entry, adds an entry or an order. Tasks that have
+// ended take room in the heartbeats until they are reaped (docs/safety.md, 32; `HeartbeatLength`).
 std::vector<ClusterState::EndedTask> ClusterState::match_listed_tasks(Machine& machine, const Heartbeat& heartbeat,
                                                                       std::uint64_t heartbeat_seq,
                                                                       std::vector<Order>& orders) {
     std::vector<EndedTask> ended;
+    double untracked_bytes = 0;
     for (const auto& task : heartbeat.tasks) {
         auto* entry = machine.find_entry(task);
         const bool has_ended = task.state == TaskState::ended;
+        bool tracked = !has_ended;
         if (entry != nullptr)
             entry->last_listed_seq = heartbeat_seq;
         if (entry != nullptr && has_ended)
@@ -210,8 +218,11 @@
         else if (has_ended)
             handle_untracked_ended_task(task, orders);
         else
-            adopt_untracked_task(machine, task, heartbeat_seq, orders);
+            tracked = adopt_untracked_task(machine, task, heartbeat_seq, orders);
+        if (!tracked)
+            untracked_bytes += listed_bytes(task);
     }
+    machine.set_untracked_bytes(untracked_bytes);
     return ended;
 }
 
@@ -224,15 +235,15 @@
 }
 
 // Handles a live task that was not known to be on the machine. It uses the machine's resources, so it gets an entry
-// even if it is to be stopped.
-void ClusterState::adopt_untracked_task(Machine& machine, const ReportedTask& task, std::uint64_t heartbeat_seq,
+// even if it is to be stopped. Returns false if there is no such job, and so no entry.
+bool ClusterState::adopt_untracked_task(Machine& machine, const ReportedTask& task, std::uint64_t heartbeat_seq,
                                         std::vector<Order>& orders) {
     if (task.attempt >> attempt_counter_bits == data_.term)
         report_reappeared_task(machine, task);
     auto* job = find_job(task.job);
     if (job == nullptr || task.index >= job->tasks.size()) {
         orders.push_back({Verb::stop, task.job, task.index, task.attempt, 0});
-        return;
+        return false;
     }
     const bool wanted = job->wants_attempt(task.index, task.attempt);
     auto& entry = add_entry(machine, *job, task.index, task.attempt);
@@ -240,6 +251,7 @@
     update_entry(entry, task);
     if (!wanted)
         stop_entry(entry, 0);
+    return true;
 }
 
 // An attempt of this term is without an entry only if it was proven gone, so it must not be alive any more.
--- a/src/cluster/job_lifecycle.cpp
+++ b/src/cluster/job_lifecycle.cpp
@@ -75,11 +75,19 @@
     return within_s;
 }
 
+// The bytes that a task of the job may take in a heartbeat until it is reaped, with any attempt of this term.
+double ClusterState::heartbeat_bytes_of_task(const JobSpec& spec) const {
+    const auto last_attempt = ((data_.term + 1) << attempt_counter_bits) - 1;
+    return static_cast<double>(
+        codec::max_listed_task_bytes(spec.id, spec.tasks - 1, last_attempt, spec.checkpoint_s > 0));
+}
+
 void ClusterState::add_job(JobStored& command) {
     if (data_.jobs.contains(command.spec.id) || recent_final_states_.contains(command.spec.id))
         return;
     auto job = std::make_unique<Job>();
     job->spec = std::move(command.spec);
+    job->spec.each.heartbeat_bytes = heartbeat_bytes_of_task(job->spec);
     job->submitted = data_.now - command.age_s;
     job->ready = data_.now - (command.ready_age_s >= 0 ? command.ready_age_s : command.age_s);
     job->priority = job->spec.priority;
--- a/src/cluster/machine.cpp
+++ b/src/cluster/machine.cpp
@@ -25,9 +25,15 @@
     if (!entries.empty())
         return;
     used = non_preemptible = {}; // floating-point sums may leave a remainder
+    used.heartbeat_bytes = untracked_bytes;
     empty_since = now;
 }
 
+void Machine::set_untracked_bytes(double bytes) {
+    used.heartbeat_bytes += bytes - untracked_bytes;
+    untracked_bytes = bytes;
+}
+
 void Machine::use_image(int image, bool ready, double now, std::optional<double> cache_gb,
                         const std::vector<double>& image_gb) {
     auto it = std::find_if(images.begin(), images.end(), [&](const auto& cached) { return cached.image == image; });
--- a/src/cluster/machine.hpp
+++ b/src/cluster/machine.hpp
@@ -33,9 +33,9 @@
 
 /// A machine and all tasks that may be on it.
 ///
-/// Invariants: `used` is the sum of the resources of all `entries`, and `non_preemptible` the sum over those that other
-/// tasks do not displace; both are zero without entries. `lease_started_at` is never earlier than the last answered
-/// heartbeat. `fencing_token` never decreases.
+/// Invariants: `used` is the sum of the resources of all `entries` and of `untracked_bytes`, and `non_preemptible` the
+/// sum over those entries that other tasks do not displace; both are zero without entries and untracked tasks.
+/// `lease_started_at` is never earlier than the last answered heartbeat. `fencing_token` never decreases.
 struct Machine {
     std::string id;
     /// HOST:PORT to which orders are sent; empty: not known yet.
@@ -90,6 +90,9 @@
     Resources used, total;
     /// The part of `used` by tasks that other tasks do not displace.
     Resources non_preemptible;
+    /// The part of `used.heartbeat_bytes` by tasks without an entry that the newest heartbeat lists. Most of them have
+    /// ended and are listed until they are reaped.
+    double untracked_bytes = 0;
     /// The machine is to be emptied and then released.
     bool retiring = false;
     /// A spot machine without heartbeats that is presumed dead and released, so that it is certainly gone.
@@ -140,6 +143,8 @@
     void occupy(const JobSpec& spec);
     /// Reverses `occupy`. To be called after the entry was removed from `entries`.
     void vacate(const JobSpec& spec, double now);
+    /// Replaces `untracked_bytes`, also in `used`.
+    void set_untracked_bytes(double bytes);
     /// Records that an image is used on the machine, and that it is in the cache if `ready`. The cache keeps the most
     /// recently used images. If its size `cache_gb` is known, images that cannot fit besides those are removed from
     /// `images`. `image_gb` contains the sizes of all images.
--- a/src/cluster/machine_lifecycle.cpp
+++ b/src/cluster/machine_lifecycle.cpp
@@ -1,6 +1,7 @@
 // Machines from their rental until they are removed: types, zones, images, lease expiry, releases and the cloud's list.
 #include "cluster/cluster_state.hpp"
 #include "cluster/gone_proof.hpp"
+#include "protocol_limits.hpp"
 
 #include <cmath>
 #include <fmt/format.h>
@@ -243,6 +244,8 @@
 
 void ClusterState::types_known(std::vector<MachineType>&& types) {
     data_.types = std::move(types);
+    for (auto& type : data_.types)
+        type.room.heartbeat_bytes = max_task_list_bytes;
     for (auto& [id, machine] : data_.machines)
         bind_type(*machine);
     needs_scheduling_ = true;
--- a/src/codec/workers.cpp
+++ b/src/codec/workers.cpp
@@ -1,6 +1,7 @@
 // Messages exchanged with workers: heartbeats, orders and redirects.
 #include "fields.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -101,6 +102,48 @@
     return Json{{wire::redirected_to, node}}.dump();
 }
 
+namespace {
+
+Json task_to_json(const ReportedTask& task) {
+    Json json{{wire::task, task_name(task.job, task.index)},
+              {wire::attempt, task.attempt},
+              {wire::status, wire::wire_name_of(wire::task_states, task.state)}};
+    if (task.state == TaskState::ended)
+        json[wire::exit_cause] = wire::wire_name_of(wire::exit_causes, task.cause);
+    if (task.saved)
+        json[wire::saved] = true;
+    return json;
+}
+
+// The bytes of a listed task and the comma after it, with a space after each separator, as some encoders write it.
+std::size_t spaced_bytes(const ReportedTask& task) {
+    const auto text = task_to_json(task).dump() + ",";
+    const auto is_separator = [](char c) { return c == ',' || c == ':'; };
+    return text.size() + static_cast<std::size_t>(std::count_if(text.begin(), text.end(), is_separator));
+}
+
+// The most bytes that a listed task takes besides the job, the index and the attempt.
+std::size_t max_bytes_beside_name_and_attempt(bool may_save) {
+    constexpr std::size_t index_and_attempt_bytes = 2; // both are 0 here
+    std::size_t most = 0;
+    for (const auto& state : wire::task_states)
+        most = std::max(most, spaced_bytes({"", 0, 0, state.value, ExitCause::done, false}));
+    for (const auto& cause : wire::exit_causes)
+        most = std::max(most, spaced_bytes({"", 0, 0, TaskState::ended, cause.value, false}));
+    if (may_save)
+        most = std::max(most, spaced_bytes({"", 0, 0, TaskState::ended, ExitCause::stopped, true}));
+    return most - index_and_attempt_bytes;
+}
+
+std::size_t decimal_digits(std::uint64_t number) {
+    std::size_t digits = 1;
+    for (; number >= 10; number /= 10)
+        ++digits;
+    return digits;
+}
+
+} // namespace
+
 std::string to_body(const Heartbeat& heartbeat) {
     Json json{{wire::machine, heartbeat.machine},
               {wire::address, heartbeat.addr},
@@ -114,19 +157,17 @@
               {wire::tasks, Json::array()}};
     if (heartbeat.notice_s >= 0)
         json[wire::notice_s] = heartbeat.notice_s;
-    for (const auto& task : heartbeat.tasks) {
-        Json entry{{wire::task, task_name(task.job, task.index)},
-                   {wire::attempt, task.attempt},
-                   {wire::status, wire::wire_name_of(wire::task_states, task.state)}};
-        if (task.state == TaskState::ended)
-            entry[wire::exit_cause] = wire::wire_name_of(wire::exit_causes, task.cause);
-        if (task.saved)
-            entry[wire::saved] = true;
-        json[wire::tasks].push_back(std::move(entry));
-    }
+    for (const auto& task : heartbeat.tasks)
+        json[wire::tasks].push_back(task_to_json(task));
     return json.dump();
 }
 
+std::size_t max_listed_task_bytes(std::string_view job, std::uint32_t index, std::uint64_t attempt, bool may_save) {
+    static const std::size_t without_save = max_bytes_beside_name_and_attempt(false);
+    static const std::size_t with_save = max_bytes_beside_name_and_attempt(true);
+    return job.size() + decimal_digits(index) + decimal_digits(attempt) + (may_save ? with_save : without_save);
+}
+
 namespace {
 
 std::optional<Order> read_order(const Json& json) {
--- a/src/scheduling/batch_assignment.cpp
+++ b/src/scheduling/batch_assignment.cpp
@@ -35,6 +35,8 @@
         count = std::min(count, room.memory_gb / each.memory_gb);
     if (each.gpus > 0)
         count = std::min(count, room.gpus / each.gpus);
+    if (each.heartbeat_bytes > 0)
+        count = std::min(count, room.heartbeat_bytes / each.heartbeat_bytes);
     return std::floor(count + rounding);
 }
 
@@ -59,6 +61,7 @@
     Matcher(const std::vector<Group>& groups, const std::vector<Bin>& bins, const Resources& common_shape)
         : groups_(groups), bins_(bins), common_shape_(common_shape) {
         list_digits();
+        all_tasks_need_ = need_of(state_count_ - 1);
         best_.assign(state_count_, unreachable);
         best_[0] = 0;
         chosen_code_.resize(bins.size() * state_count_);
@@ -141,9 +144,19 @@
         return choices;
     }
 
+    // The free bytes of the heartbeat if they can affect a choice, else a value above any limit. Otherwise machines
+    // with the same free resources but a different number of tasks would not share their choices.
+    [[nodiscard]] double limiting_heartbeat_bytes(const Resources& free) const {
+        double enough = all_tasks_need_.heartbeat_bytes;
+        if (common_shape_.cpus > 0)
+            enough += std::max(0.0, free.cpus / common_shape_.cpus + 1) * common_shape_.heartbeat_bytes;
+        return free.heartbeat_bytes < enough ? free.heartbeat_bytes : std::numeric_limits<double>::infinity();
+    }
+
     [[nodiscard]] SharedChoices& shared_choices(std::size_t bin) {
         const auto& [free, total] = bins_[bin];
-        key_.assign({free.cpus, free.gpus, free.memory_gb, total.cpus, total.gpus, total.memory_gb});
+        key_.assign({free.cpus, free.gpus, free.memory_gb, total.cpus, total.gpus, total.memory_gb,
+                     limiting_heartbeat_bytes(free)});
         for (const auto& group : groups_)
             key_.push_back(group.cost[bin]);
         const auto [found, fresh] = shared_choices_.try_emplace(key_);
@@ -211,6 +224,7 @@
     const Resources& common_shape_;
     std::size_t group_count_ = 0; // the digits of a state, one for each group
     std::size_t state_count_ = 1;
+    Resources all_tasks_need_;              // of all tasks of all groups together
     std::vector<int> digits_;               // the digits of each state: [state * group_count_ + group]
     std::vector<double> best_;              // the highest value of each state with the bins tried so far
     std::vector<double> next_;              // the same, including the bin that is being tried
--- a/src/scheduling/pool_choice.cpp
+++ b/src/scheduling/pool_choice.cpp
@@ -23,6 +23,7 @@
         need.total += spec.each * spec.tasks;
         need.largest.cpus = std::max(need.largest.cpus, spec.each.cpus);
         need.largest.memory_gb = std::max(need.largest.memory_gb, spec.each.memory_gb);
+        need.largest.heartbeat_bytes = std::max(need.largest.heartbeat_bytes, spec.each.heartbeat_bytes);
     }
     return need;
 }
@@ -54,7 +55,7 @@
         max_in_zone = std::max(max_in_zone, machines.size());
     for (std::size_t turn = 0; turn < max_in_zone; ++turn)
         for (const auto& [zone, machines] : by_zone) {
-            if (need.cpus <= 0 || need.memory_gb <= 0)
+            if ((need.cpus <= 0 || need.memory_gb <= 0) && need.heartbeat_bytes <= 0)
                 return taken;
             if (turn >= machines.size())
                 continue;
--- a/src/scheduling/room_index.cpp
+++ b/src/scheduling/room_index.cpp
@@ -11,10 +11,11 @@
 // usable().
 constexpr double rounding = 1e-9;
 constexpr double nothing_fits = -1e18; // less than any task needs
-const Resources no_room{nothing_fits, nothing_fits, nothing_fits};
+const Resources no_room{nothing_fits, nothing_fits, nothing_fits, nothing_fits};
 
 Resources larger_of_each(const Resources& one, const Resources& other) {
-    return {std::max(one.cpus, other.cpus), std::max(one.gpus, other.gpus), std::max(one.memory_gb, other.memory_gb)};
+    return {std::max(one.cpus, other.cpus), std::max(one.gpus, other.gpus), std::max(one.memory_gb, other.memory_gb),
+            std::max(one.heartbeat_bytes, other.heartbeat_bytes)};
 }
 
 } // namespace
@@ -62,8 +63,9 @@
     if (is_reserved(machine) || cluster_.now < machine.slow_until)
         return no_room;
     const auto free = machine.total - machine.used;
-    return machine.pool ? free - cluster_.service_shape * replica_headroom + Resources{rounding, rounding, rounding}
-                        : free;
+    return machine.pool
+               ? free - cluster_.service_shape * replica_headroom + Resources{rounding, rounding, rounding, rounding}
+               : free;
 }
 
 void RoomIndex::rebuild() {
--- a/tests/machines.hpp
+++ b/tests/machines.hpp
@@ -4,6 +4,7 @@
 
 #include "heronshift/codec.hpp"
 #include "heronshift/config.hpp"
+#include "protocol_limits.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -91,6 +92,7 @@
     int started = 0,
         cancelled_launches = 0; // `cancelled_launches`: launches after the user was told of the cancellation
     std::vector<std::string> violations;
+    std::size_t longest_heartbeat = 0;                  // in bytes, of the machines with hundreds of tasks
     std::function<double(std::uint32_t)> task_duration; // how long a task runs, by its index
 
     double chance() {
@@ -110,6 +112,18 @@
             r.tasks.push_back({t.job, t.index, t.attempt, t.state, t.cause, false});
         return r;
     }
+    // Whether a request may carry the heartbeat. A worker with too many tasks cannot report until its lease ends.
+    bool can_send(const Heartbeat& heartbeat) {
+        constexpr std::size_t min_task_bytes = 40;
+        if (heartbeat.tasks.size() < max_request_body_bytes / min_task_bytes / 4)
+            return true; // without encoding it: short by any measure
+        longest_heartbeat = std::max(longest_heartbeat, codec::to_body(heartbeat).size());
+        return codec::to_body(heartbeat).size() <= max_request_body_bytes;
+    }
+    void check_length(std::string_view what, const std::string& body, std::size_t limit) {
+        if (body.size() > limit)
+            violations.push_back(fmt::format("{} of {} bytes", what, body.size()));
+    }
 
     // Counts launches sent after the user was told of the cancellation; `execute` counts those that arrive after it.
     void sent(const std::vector<Order>& orders) {
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -57,6 +57,26 @@
     EXPECT_LT(std::get<JobSpec>(r).deadline_s, 0);
 }
 
+// Guards against machines that get more tasks than they can report: whatever becomes of a task, it takes no more room
+// in a heartbeat than was assumed at its placement.
+TEST(Heartbeats, NoTaskTakesMoreRoomThanAssumed) {
+    const std::string job = "wk-" + std::string(37, '9');
+    constexpr std::uint32_t index = codec::max_tasks - 1;
+    constexpr std::uint64_t attempt = UINT64_MAX;
+    Heartbeat heartbeat;
+    const auto empty = codec::to_body(heartbeat).size();
+    for (const bool may_save : {false, true})
+        for (const auto state :
+             {TaskState::fetching, TaskState::waiting, TaskState::running, TaskState::saving, TaskState::ended})
+            for (const auto cause : {ExitCause::done, ExitCause::stopped, ExitCause::peers, ExitCause::alone,
+                                     ExitCause::error, ExitCause::no_room, ExitCause::busy, ExitCause::unknown}) {
+                const bool saved = may_save && cause == ExitCause::stopped;
+                heartbeat.tasks.assign(100, {job, index, attempt, state, cause, saved});
+                EXPECT_LE(codec::to_body(heartbeat).size() - empty,
+                          100 * codec::max_listed_task_bytes(job, index, attempt, may_save));
+            }
+}
+
 TEST(Heartbeats, TruncatedOrIllTypedOnesAreNoAnswer) {
     const std::string good = R"({"host":"n-1","addr":"10.0.0.9:9000","flavor":"g8","yard":"a","standby":true,
         "tenure":1,"counter":88,"fence":41,"evictionInS":null,
