The answer to a heartbeat names no more tasks than a line may have

An answer to a worker is one line of at most 64 KiB. After a failover to a machine that an earlier version filled beyond its heartbeat, or for a job of many tasks that is cancelled, the answer repeated the stops of all its entries, whatever their number.

Cause: only batches of direct orders were bounded (200).

Change: an answer has at most 467 orders, each of at most 140 bytes; stops first, since cancellations have a deadline, then reaps, which are determined again for the next answer. That a direct batch fits into a request is asserted.

Orders.NoOrderTakesMoreRoomThanAssumed holds the bound of one order.

--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -271,7 +271,7 @@
     static void request_inbound_proof(Machine& machine, const Heartbeat& heartbeat);
     void prepare_reaps(Machine& machine, std::vector<Order>& orders);
     void acknowledge(Machine& machine, const Heartbeat& heartbeat, bool overtaken);
-    std::vector<Order> repeated_stop_orders(Machine& machine);
+    void add_repeated_stops(Machine& machine, std::vector<Order>& orders);
 
     // orders.cpp: orders to machines and their outcomes
     static Order stop_order(const Entry& entry);
--- a/src/cluster/heartbeats.cpp
+++ b/src/cluster/heartbeats.cpp
@@ -3,6 +3,7 @@
 
 #include "cluster/gone_proof.hpp"
 #include "http_status.hpp"
+#include "protocol_limits.hpp"
 #include "protocol_times.hpp"
 
 #include <algorithm>
@@ -16,6 +17,9 @@
 // A machine counts as unreachable after this many missed answers. A single one may be lost in normal operation.
 constexpr int max_missed_answers = 2;
 
+// The most orders in the answer to a heartbeat, which is one line. The rest of the line is for the fencing token.
+constexpr std::size_t max_answered_orders = max_response_line_bytes / max_order_bytes - 1;
+
 // Heartbeats that arrive at shorter intervals than this were delayed in transit: a machine sends its next heartbeat
 // only after it has received the answer to the last one or waited for it until the timeout.
 double min_heartbeat_gap_s(const Settings& settings) {
@@ -111,8 +115,7 @@
     // The reply to an empty batch of orders proves that the machine has seen this term.
     if (!machine.term_seen)
         heartbeat_requests_.add(machine);
-    auto stops = repeated_stop_orders(machine);
-    orders.insert(orders.end(), stops.begin(), stops.end());
+    add_repeated_stops(machine, orders);
     effects_.emplace_back(AnswerHeartbeat{command.handle, http_status::ok, machine.fencing_token, std::move(orders)});
 }
 
@@ -365,19 +368,23 @@
     ++counters_.reap_tokens;
 }
 
-// The stop orders for the machine's tasks. They are repeated with each answer to a heartbeat until the tasks have
-// ended.
-std::vector<Order> ClusterState::repeated_stop_orders(Machine& machine) {
-    std::vector<Order> out;
+// Appends the stop orders for the machine's tasks, which are repeated with each answer to a heartbeat until the tasks
+// have ended. They take precedence over the orders that are there already, mostly reaps, if the answer has no room for
+// all: the others are determined again for the next answer.
+void ClusterState::add_repeated_stops(Machine& machine, std::vector<Order>& orders) {
+    std::vector<Order> stops;
     for (auto& entry : machine.entries) {
+        if (stops.size() == max_answered_orders)
+            break;
         // A repeated stop without a grace period would end a saving task before its progress is saved.
         const bool saves = entry->phase == Phase::saving && entry->drain_s > 0;
         if (!entry->stop || entry->phase < Phase::sent || saves)
             continue;
         entry->stop_sent_at = data_.now;
-        out.push_back(stop_order(*entry));
+        stops.push_back(stop_order(*entry));
     }
-    return out;
+    orders.resize(std::min(orders.size(), max_answered_orders - stops.size()));
+    orders.insert(orders.end(), stops.begin(), stops.end());
 }
 
 } // namespace heronshift::cluster
--- a/src/cluster/orders.cpp
+++ b/src/cluster/orders.cpp
@@ -3,6 +3,7 @@
 
 #include "cluster/gone_proof.hpp"
 #include "http_status.hpp"
+#include "protocol_limits.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -10,9 +11,9 @@
 namespace heronshift::cluster {
 namespace {
 
-// Maximum number of orders to a machine in one batch; further orders are sent after its reply. A machine runs tens of
-// tasks, independently of the size of the fleet.
+// Maximum number of orders to a machine in one batch; further orders are sent after its reply.
 constexpr std::size_t max_orders = 200;
+static_assert(max_orders * max_order_bytes < max_request_body_bytes);
 
 constexpr int no_answer = 0;
 
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -1,4 +1,5 @@
 #include "heronshift/codec.hpp"
+#include "protocol_limits.hpp"
 
 #include <gtest/gtest.h>
 
@@ -77,6 +78,14 @@
             }
 }
 
+TEST(Orders, NoOrderTakesMoreRoomThanAssumed) {
+    const auto empty = codec::orders(0, {}).size();
+    for (const auto verb : {Verb::launch, Verb::stop, Verb::reap}) {
+        const Order order{verb, "wk-" + std::string(37, '9'), codec::max_tasks - 1, UINT64_MAX, 1e7 / 3e9};
+        EXPECT_LE(codec::orders(0, std::vector<Order>(100, order)).size() - empty, 100 * max_order_bytes);
+    }
+}
+
 TEST(Heartbeats, TruncatedOrIllTypedOnesAreNoAnswer) {
     const std::string good = R"({"host":"n-1","addr":"10.0.0.9:9000","flavor":"g8","yard":"a","standby":true,
         "tenure":1,"counter":88,"fence":41,"evictionInS":null,
--- a/tests/test_heartbeat_length.cpp
+++ b/tests/test_heartbeat_length.cpp
@@ -11,7 +11,7 @@
 // Machines whose CPUs and memory have room for more than 1,300 of the tasks that are submitted here.
 struct SmallTasks : SimulatedCluster {
     static constexpr double cpus = 0.006, memory_gb = 0.02;
-    int lost_leases = 0; // of machines with tasks
+    int lease_expirations = 0; // of machines with tasks
 
     SmallTasks(unsigned seed, int machine_count) : SimulatedCluster(seed) {
         settings.teams = {{"red", 400, 400, 0, 0}};
@@ -28,7 +28,7 @@
         return spec.id;
     }
     void expired(Worker& w) override {
-        lost_leases += !w.tasks.empty();
+        lease_expirations += !w.tasks.empty();
     }
     bool all_done() const {
         return std::all_of(jobs.begin(), jobs.end(), [this](const auto& job) {
@@ -60,7 +60,7 @@
     for (int n = 1; n <= 3; ++n)
         c.submit_job(n, Shape::array, 400);
     EXPECT_LT(c.run_until_done(150), 150);
-    EXPECT_EQ(c.lost_leases, 0);
+    EXPECT_EQ(c.lease_expirations, 0);
     EXPECT_GT(c.longest_heartbeat, max_request_body_bytes / 2); // the room is used
 }
 
@@ -72,7 +72,7 @@
     for (int n = 1; n <= 8; ++n)
         c.submit_job(n, Shape::array, 600);
     EXPECT_LT(c.run_until_done(300), 300);
-    EXPECT_EQ(c.lost_leases, 0);
+    EXPECT_EQ(c.lease_expirations, 0);
 }
 
 // Each new leader reads which tasks are on the machine, and learns from heartbeats which have ended there.
@@ -86,7 +86,7 @@
         c.acquire_leadership();
     }
     EXPECT_LT(c.run_until_done(300), 300);
-    EXPECT_EQ(c.lost_leases, 0);
+    EXPECT_EQ(c.lease_expirations, 0);
 }
 
 // The tasks of a gang end together, and are then listed at their longest. All fit on one machine by CPUs and memory.
@@ -95,7 +95,7 @@
     c.acquire_leadership();
     c.submit_job(1, Shape::gang, 1000);
     EXPECT_LT(c.run_until_done(120), 120);
-    EXPECT_EQ(c.lost_leases, 0);
+    EXPECT_EQ(c.lease_expirations, 0);
 }
 
 // The leader before this one, of an earlier version, placed more on a machine than it can report.
@@ -118,7 +118,40 @@
     c.run(2);
     EXPECT_EQ(c.live_on("n-0000"), 1200U);
     EXPECT_LT(c.run_until_done(150), 150);
-    EXPECT_EQ(c.lost_leases, 1); // that of the machine that was too full
+    EXPECT_EQ(c.lease_expirations, 1); // that of the machine that was too full
+}
+
+// Answers to heartbeats are limited like heartbeats. An earlier version placed more tasks of a job that was then
+// cancelled than one answer can stop, and tasks that are to be reaped are listed as well.
+TEST(HeartbeatLength, AnAnswerNamesNoMoreTasksThanALineMayHave) {
+    const auto settings = small_settings();
+    const std::string id = "wk-" + std::string(37, '7');
+    auto spec = job(1, Shape::array, 3000, SmallTasks::cpus);
+    spec.id = id;
+    Snapshot stored;
+    stored.jobs.push_back({"j/" + id, {{"spec", codec::to_json(spec)}, {"at", 0.0}, {"final", "withdrawn"}}, 1, false});
+    stored.intents.push_back({"i/3", {{"t", "n-1 a 1 " + id + "/0-1499:18446744073709551615"}}, 1, false});
+    Core core(settings, 7, stored, 0, 0);
+    std::vector<ReportedTask> ended;
+    for (std::uint32_t index = 2000; index < 2300; ++index)
+        ended.push_back({id, index, UINT64_MAX, TaskState::ended, ExitCause::stopped, false});
+    std::vector<Command> commands{CancellationRequested{id, 1}};
+    core.step(commands, 0.05, 0.05);
+    commands = {HeartbeatReceived{
+        {"n-1", "n-1", "m8", "a", true, 1, 2, std::uint64_t{6} << token_counter_bits, -1, std::move(ended)}, 1}};
+    std::size_t answers = 0;
+    for (const auto& effect : core.step(commands, 0.1, 0.1)) {
+        const auto* answer = std::get_if<AnswerHeartbeat>(&effect);
+        if (answer == nullptr)
+            continue;
+        ++answers;
+        EXPECT_EQ(answer->status, 200);
+        EXPECT_EQ(answer->orders.back().verb, Verb::stop); // stops have a deadline, reaps have none
+        const auto bytes = codec::orders(answer->fencing_token, answer->orders).size();
+        EXPECT_LE(bytes, max_response_line_bytes);
+        EXPECT_GT(bytes, max_response_line_bytes / 2);
+    }
+    EXPECT_EQ(answers, 1U);
 }
 
 // An ended task takes room until a heartbeat no longer lists it, even though its CPUs and memory are free.
