Rentals and returns count the heartbeats that small tasks fill

Callers see: an array of very small tasks is late beside machines that could be rented. Found while looking for the limit of heartbeats on related paths.

Cause: what arrays, gangs and services need is added up in CPUs, and a machine whose heartbeat is full has CPUs left.

Change: a task counts with the CPUs of the largest type that its share of a heartbeat leaves idle, if these are more than its own (`ClusterData::cpu_demand`), and a machine offers arrays no more of its CPUs than is left of its heartbeat. Nothing changes for tasks of more than some 0.15% of a machine's CPUs.

Result: HeartbeatLength.ExpensiveMachinesAreRentedForTasksThatWouldBeLateOtherwise failed before: 2,000 tasks were done after 83.75 s, due after 60 s. It passes now.

--- a/src/cluster/cluster_data.hpp
+++ b/src/cluster/cluster_data.hpp
@@ -80,6 +80,8 @@
     /// For "type/zone/spot", the time before which no machines of this kind are requested again, because the cloud had
     /// no capacity.
     std::map<std::string, double> no_capacity;
+    /// The CPUs of the machine type with the most, for each byte of its heartbeat.
+    double cpus_per_heartbeat_byte = 0;
     /// The resources that one task uses in the most common kind of waiting work; those of the largest service replica.
     Resources common_shape, service_shape;
     LearnedAverages learned;
@@ -109,6 +111,9 @@
     }
     /// The period over which offered work and spot losses are averaged, in seconds.
     [[nodiscard]] double averaging_period_s() const;
+    /// The CPUs that one task of the job takes from the fleet: its own, or those of the largest machine type that stay
+    /// idle because of its share of the heartbeat, if these are more.
+    [[nodiscard]] double cpu_demand(const Job& job) const;
     /// Estimated CPU seconds of the job's tasks that are not done, from its owner's estimate.
     [[nodiscard]] double remaining_work_cpu_s(const Job& job) const;
     /// When the job should be complete: the earliest of its owner's deadline, the time by which dependent jobs need it
--- a/src/cluster/machine.cpp
+++ b/src/cluster/machine.cpp
@@ -11,6 +11,13 @@
     return nullptr;
 }
 
+double Machine::cpus_left_beside(const Resources& in_use) const {
+    const double cpus = total.cpus - in_use.cpus;
+    if (total.heartbeat_bytes <= 0)
+        return cpus;
+    return std::min(cpus, total.cpus * (1 - in_use.heartbeat_bytes / total.heartbeat_bytes));
+}
+
 void Machine::occupy(const JobSpec& spec) {
     used += spec.each;
     if (spec.shape != Shape::array)
--- a/src/cluster/machine.hpp
+++ b/src/cluster/machine.hpp
@@ -139,6 +139,9 @@
     }
     /// The entry of the reported attempt; null: none.
     [[nodiscard]] Entry* find_entry(const ReportedTask& task);
+    /// The CPUs that other tasks can use if `in_use` is: those that are not in use, but no greater share of all than is
+    /// left of the heartbeat.
+    [[nodiscard]] double cpus_left_beside(const Resources& in_use) const;
     /// Adds the resources of one task of the job to those in use.
     void occupy(const JobSpec& spec);
     /// Reverses `occupy`. To be called after the entry was removed from `entries`.
--- a/src/cluster/machine_lifecycle.cpp
+++ b/src/cluster/machine_lifecycle.cpp
@@ -244,8 +244,11 @@
 
 void ClusterState::types_known(std::vector<MachineType>&& types) {
     data_.types = std::move(types);
-    for (auto& type : data_.types)
+    data_.cpus_per_heartbeat_byte = 0;
+    for (auto& type : data_.types) {
         type.room.heartbeat_bytes = max_task_list_bytes;
+        data_.cpus_per_heartbeat_byte = std::max(data_.cpus_per_heartbeat_byte, type.room.cpus / max_task_list_bytes);
+    }
     for (auto& [id, machine] : data_.machines)
         bind_type(*machine);
     needs_scheduling_ = true;
--- a/src/cluster/placement_rules.cpp
+++ b/src/cluster/placement_rules.cpp
@@ -15,8 +15,12 @@
     return offered_leases * settings.lease_s;
 }
 
+double ClusterData::cpu_demand(const Job& job) const {
+    return std::max(job.spec.each.cpus, job.spec.each.heartbeat_bytes * cpus_per_heartbeat_byte);
+}
+
 double ClusterData::remaining_work_cpu_s(const Job& job) const {
-    return job.spec.each.cpus * (job.spec.tasks - job.done) * std::max(1.0, job.spec.estimate_s);
+    return cpu_demand(job) * (job.spec.tasks - job.done) * std::max(1.0, job.spec.estimate_s);
 }
 
 double ClusterData::due_at(const Job& job) const {
--- a/src/scheduling/array_demand.cpp
+++ b/src/scheduling/array_demand.cpp
@@ -39,7 +39,7 @@
 }
 
 ArrayWork array_work(const ClusterData& cluster, const Job& job) {
-    const double cpus = job.spec.each.cpus, run = estimated_run_s(cluster, job);
+    const double cpus = cluster.cpu_demand(job), run = estimated_run_s(cluster, job);
     const double waiting = static_cast<double>(job.pending.size());
     return {window_s(cluster, job, run), cpus * run * (waiting + mean_remaining_share * job.live),
             cpus * (waiting + job.live), job.spec.spot};
--- a/src/scheduling/rental_plan.cpp
+++ b/src/scheduling/rental_plan.cpp
@@ -56,7 +56,7 @@
         add_incoming(*type, machine.zone_name, machine.spot);
     if (!counts_as_capacity(cluster_, machine) || machine.retiring)
         return;
-    count_capacity(machine.total, machine.total.cpus - machine.non_preemptible.cpus, machine.spot);
+    count_capacity(machine.total, machine.cpus_left_beside(machine.non_preemptible), machine.spot);
     gang_ready_machines_ += is_gang_ready(machine);
 }
 
--- a/src/scheduling/shrinking.cpp
+++ b/src/scheduling/shrinking.cpp
@@ -19,14 +19,14 @@
     double max_gang_tasks = 0; // size of the largest gang that has a task on the machine
 };
 
-LongRunningWork long_running_work(const Machine& machine) {
+LongRunningWork long_running_work(const ClusterData& cluster, const Machine& machine) {
     LongRunningWork work;
     for (const auto& entry : machine.entries) {
         const auto& spec = entry->job->spec;
         if (spec.shape == Shape::service)
-            work.service_cpus += spec.each.cpus;
+            work.service_cpus += cluster.cpu_demand(*entry->job);
         if (spec.shape == Shape::gang) {
-            work.gang_cpus += spec.each.cpus;
+            work.gang_cpus += cluster.cpu_demand(*entry->job);
             work.max_gang_tasks = std::max(work.max_gang_tasks, static_cast<double>(spec.tasks));
         }
     }
@@ -61,7 +61,7 @@
 
 void Autoscaler::count_machine(const Machine& machine, FleetTotals& totals,
                                std::vector<RetirementCandidate>& candidates) const {
-    const auto work = long_running_work(machine);
+    const auto work = long_running_work(cluster_, machine);
     const double kept_cpus = machine.pool ? cluster_.service_shape.cpus * replica_headroom : 0;
     const double needed = work.service_cpus + work.gang_cpus + kept_cpus;
     totals.capacity.total += machine.total.cpus;
@@ -84,7 +84,7 @@
             continue;
         const auto& spec = job->spec;
         if (spec.shape != Shape::array)
-            totals.need.total += spec.each.cpus * static_cast<double>(job->pending.size());
+            totals.need.total += cluster_.cpu_demand(*job) * static_cast<double>(job->pending.size());
         if (spec.shape == Shape::gang)
             totals.max_gang_tasks = std::max(totals.max_gang_tasks, static_cast<double>(spec.tasks));
     }
--- a/tests/test_heartbeat_length.cpp
+++ b/tests/test_heartbeat_length.cpp
@@ -89,6 +89,24 @@
     EXPECT_EQ(c.lease_expirations, 0);
 }
 
+// The only spot machine cannot list all tasks at once, and its CPUs would hardly be used. Without the more expensive
+// machines the job would be late.
+TEST(HeartbeatLength, ExpensiveMachinesAreRentedForTasksThatWouldBeLateOtherwise) {
+    SmallTasks c(6, 1);
+    c.on_demand_capacity = 3;
+    c.task_duration = [](std::uint32_t) { return 20; };
+    c.acquire_leadership();
+    constexpr double deadline_s = 60;
+    c.submit_job(1, Shape::array, 2000, [](JobSpec& spec) {
+        spec.each.cpus = 0.001;
+        spec.each.memory_gb = 0.001;
+        spec.estimate_s = 20;
+        spec.deadline_s = deadline_s;
+    });
+    EXPECT_LT(c.run_until_done(200), deadline_s);
+    EXPECT_EQ(c.lease_expirations, 0);
+}
+
 // The tasks of a gang end together, and are then listed at their longest. All fit on one machine by CPUs and memory.
 TEST(HeartbeatLength, AGangIsSpreadOverAsManyMachinesAsItsHeartbeatsNeed) {
     SmallTasks c(4, 3);
