Metric for the longest list of tasks that a machine may report

Cause: that a machine's heartbeat is full, and that this is why it gets no task, showed nowhere.

The tests of `HeartbeatLength` run with the limits of the state service enforced.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -24,6 +24,7 @@
 
 struct MachineTotals {
     std::size_t up = 0, live_tasks = 0, inbound_unreachable = 0;
+    double max_heartbeat_bytes = 0; // the longest list of tasks that a machine may report
 };
 
 MachineTotals machine_totals(const cluster::ClusterData& cluster) {
@@ -32,6 +33,7 @@
         totals.up += machine->status == cluster::MachineStatus::up;
         totals.live_tasks += machine->entries.size();
         totals.inbound_unreachable += machine->inbound_unreachable();
+        totals.max_heartbeat_bytes = std::max(totals.max_heartbeat_bytes, machine->used.heartbeat_bytes);
     }
     return totals;
 }
@@ -213,6 +215,8 @@
          as_double(counters.tasks_reappeared)},
         {"heronshift_passes_total", "of placement over all that waits, in this term", as_double(cluster_.passes())},
         {"heronshift_commits_total", "transactions in this term", as_double(records_.committed_count())},
+        {"heronshift_heartbeat_bytes_max", "longest list of tasks that a machine may report",
+         machines.max_heartbeat_bytes},
         {"heronshift_machines_deaf", "that report and do not hear", as_double(machines.inbound_unreachable)},
         {"heronshift_reports_dropped_total",
          "copies, in this term",
--- a/tests/test_heartbeat_length.cpp
+++ b/tests/test_heartbeat_length.cpp
@@ -16,6 +16,7 @@
     SmallTasks(unsigned seed, int machine_count) : SimulatedCluster(seed) {
         settings.teams = {{"red", 400, 400, 0, 0}};
         settings.state_write_rps = 400;
+        enforce_store_limits = true;
         capacity = machine_count;
     }
     std::string submit_job(int n, Shape shape, std::uint32_t tasks, const std::function<void(JobSpec&)>& more = {}) {
