Inbound reachability stands in a file of its own

Change: the functions of the second move to inbound_reachability.cpp as they are. No behaviour changes.

--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -264,14 +264,16 @@
                      const std::vector<EndedTask>& ended);
     bool may_reap(const ReportedTask& task);
     void handle_reclaim_notice(Machine& machine, double notice_s);
+    void prepare_reaps(Machine& machine, std::vector<Order>& orders);
+    void acknowledge(Machine& machine, const Heartbeat& heartbeat, bool overtaken);
+    void add_repeated_stops(Machine& machine, std::vector<Order>& orders);
+
+    // inbound_reachability.cpp: whether answers to heartbeats reach a machine
     void lease_restarted(Machine& machine);
     void update_inbound_reachability(Machine& machine, const Heartbeat& heartbeat);
     static void note_route(Machine& machine, const HeartbeatReceived& command);
     [[nodiscard]] bool answer_was_missed(Machine& machine, const Heartbeat& heartbeat) const;
     static void request_inbound_proof(Machine& machine, const Heartbeat& heartbeat);
-    void prepare_reaps(Machine& machine, std::vector<Order>& orders);
-    void acknowledge(Machine& machine, const Heartbeat& heartbeat, bool overtaken);
-    void add_repeated_stops(Machine& machine, std::vector<Order>& orders);
 
     // orders.cpp: orders to machines and their outcomes
     static Order stop_order(const Entry& entry);
