After a second reading: the heartbeat's list, simpler and without what was there already

Change: digits are counted by fmt::formatted_size; `max_order_bytes` stands with the encoder that it describes; the batch keeps the bytes of its tasks as one number. Two tests move to test_cluster_state.cpp and test_core.cpp, where their fixtures are, with the same checks and bounds. The simulated cluster counts orders at their longest instead of encoding them, which is stricter.

--- a/include/heronshift/codec.hpp
+++ b/include/heronshift/codec.hpp
@@ -115,6 +115,9 @@
 /// Encodes a request that sends orders to a worker.
 [[nodiscard]] std::string commands(std::uint64_t fencing_token, std::uint64_t agent_epoch,
                                    const std::vector<Order>& list);
+/// The most bytes that one order takes in either, with the longest job id, index and attempt and a drain time of full
+/// precision.
+inline constexpr std::size_t max_order_bytes = 140;
 /// Encodes an answer that redirects the worker's heartbeats to another node.
 [[nodiscard]] std::string redirect(const std::string& node);
 /// Encodes an error message. Bytes that are not valid UTF-8 are replaced.
--- a/src/cluster/heartbeats.cpp
+++ b/src/cluster/heartbeats.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 // The most orders in the answer to a heartbeat, which is one line. The rest of the line is for the fencing token.
-constexpr std::size_t max_answered_orders = max_response_line_bytes / max_order_bytes - 1;
+constexpr std::size_t max_answered_orders = max_response_line_bytes / codec::max_order_bytes - 1;
 
 Order reap_order(const ReportedTask& task) {
     return {Verb::reap, task.job, task.index, task.attempt, 0};
--- a/src/cluster/orders.cpp
+++ b/src/cluster/orders.cpp
@@ -13,7 +13,7 @@
 
 // Maximum number of orders to a machine in one batch; further orders are sent after its reply.
 constexpr std::size_t max_orders = 200;
-static_assert(max_orders * max_order_bytes < max_request_body_bytes);
+static_assert(max_orders * codec::max_order_bytes < max_request_body_bytes);
 
 constexpr int no_answer = 0;
 
--- a/src/codec/workers.cpp
+++ b/src/codec/workers.cpp
@@ -135,13 +135,6 @@
     return most - index_and_attempt_bytes;
 }
 
-std::size_t decimal_digits(std::uint64_t number) {
-    std::size_t digits = 1;
-    for (; number >= 10; number /= 10)
-        ++digits;
-    return digits;
-}
-
 } // namespace
 
 std::string to_body(const Heartbeat& heartbeat) {
@@ -165,7 +158,7 @@
 std::size_t max_listed_task_bytes(std::string_view job, std::uint32_t index, std::uint64_t attempt, bool may_save) {
     static const std::size_t without_save = max_bytes_beside_name_and_attempt(false);
     static const std::size_t with_save = max_bytes_beside_name_and_attempt(true);
-    return job.size() + decimal_digits(index) + decimal_digits(attempt) + (may_save ? with_save : without_save);
+    return job.size() + fmt::formatted_size("{}{}", index, attempt) + (may_save ? with_save : without_save);
 }
 
 namespace {
--- a/src/protocol_limits.hpp
+++ b/src/protocol_limits.hpp
@@ -13,7 +13,5 @@
 inline constexpr std::size_t max_task_list_bytes = max_request_body_bytes - heartbeat_head_bytes;
 /// The longest line in a response to a worker or a user, in bytes.
 inline constexpr std::size_t max_response_line_bytes = 64UL * 1024;
-/// The most bytes that one order takes, with the longest job id, index and attempt and a drain time of full precision.
-inline constexpr std::size_t max_order_bytes = 140;
 
 } // namespace heronshift
--- a/src/scheduling/batch_assignment.cpp
+++ b/src/scheduling/batch_assignment.cpp
@@ -61,7 +61,7 @@
     Matcher(const std::vector<Group>& groups, const std::vector<Bin>& bins, const Resources& common_shape)
         : groups_(groups), bins_(bins), common_shape_(common_shape) {
         list_digits();
-        all_tasks_need_ = need_of(state_count_ - 1);
+        all_tasks_heartbeat_bytes_ = need_of(state_count_ - 1).heartbeat_bytes;
         best_.assign(state_count_, unreachable);
         best_[0] = 0;
         chosen_code_.resize(bins.size() * state_count_);
@@ -147,7 +147,7 @@
     // The free bytes of the heartbeat if they can affect a choice, else a value above any limit. Otherwise machines
     // with the same free resources but a different number of tasks would not share their choices.
     [[nodiscard]] double limiting_heartbeat_bytes(const Resources& free) const {
-        double enough = all_tasks_need_.heartbeat_bytes;
+        double enough = all_tasks_heartbeat_bytes_;
         if (common_shape_.cpus > 0)
             enough += std::max(0.0, free.cpus / common_shape_.cpus + 1) * common_shape_.heartbeat_bytes;
         return free.heartbeat_bytes < enough ? free.heartbeat_bytes : std::numeric_limits<double>::infinity();
@@ -224,7 +224,7 @@
     const Resources& common_shape_;
     std::size_t group_count_ = 0; // the digits of a state, one for each group
     std::size_t state_count_ = 1;
-    Resources all_tasks_need_;              // of all tasks of all groups together
+    double all_tasks_heartbeat_bytes_ = 0;  // of all tasks of all groups together
     std::vector<int> digits_;               // the digits of each state: [state * group_count_ + group]
     std::vector<double> best_;              // the highest value of each state with the bins tried so far
     std::vector<double> next_;              // the same, including the bin that is being tried
--- a/tests/machines.hpp
+++ b/tests/machines.hpp
@@ -117,12 +117,15 @@
         constexpr std::size_t min_task_bytes = 40;
         if (heartbeat.tasks.size() < max_request_body_bytes / min_task_bytes / 4)
             return true; // without encoding it: short by any measure
-        longest_heartbeat = std::max(longest_heartbeat, codec::to_body(heartbeat).size());
-        return codec::to_body(heartbeat).size() <= max_request_body_bytes;
+        const auto bytes = codec::to_body(heartbeat).size();
+        longest_heartbeat = std::max(longest_heartbeat, bytes);
+        return bytes <= max_request_body_bytes;
     }
-    void check_length(std::string_view what, const std::string& body, std::size_t limit) {
-        if (body.size() > limit)
-            violations.push_back(fmt::format("{} of {} bytes", what, body.size()));
+    // Orders are not encoded here: each is assumed to be as long as it can be, and one more stands for the other
+    // fields.
+    void check_length(const std::vector<Order>& orders, std::size_t limit) {
+        if ((orders.size() + 1) * codec::max_order_bytes > limit)
+            violations.push_back(fmt::format("{} orders in a message", orders.size()));
     }
 
     // Counts launches sent after the user was told of the cancellation; `execute` counts those that arrive after it.
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -231,7 +231,7 @@
                                                                    std::vector<Order> orders) {
                 if (status != 200)
                     return refused();
-                check_length("answer to a heartbeat", codec::orders(fencing_token, orders), max_response_line_bytes);
+                check_length(orders, max_response_line_bytes);
                 send(between(0, 0.2), [this, id, sent, agent_epoch, fencing_token, orders] {
                     auto it = workers.find(id);
                     if (it == workers.end() || it->second.dead || it->second.hung || it->second.cut)
@@ -284,8 +284,7 @@
                 enqueue(Committed{out});
             });
         } else if (const auto* o = std::get_if<SendOrders>(&effect)) {
-            check_length("orders", codec::commands(o->fencing_token, o->agent_epoch, o->orders),
-                         max_request_body_bytes);
+            check_length(o->orders, max_request_body_bytes);
             const bool lost = chance() < order_loss, held = chance() < delayed_share;
             const double delay = held ? between(3, 90) : between(0, 0.1);
             auto answer = [enqueue](OrdersAnswered a) { enqueue(std::move(a)); };
--- a/tests/test_cluster_state.cpp
+++ b/tests/test_cluster_state.cpp
@@ -25,8 +25,8 @@
         for (const auto* id : {"a1", "a2", "b1", "s1"})
             add_machine(id);
     }
-    void add_machine(const std::string& id) {
-        Heartbeat r{id, id, "m8", id[0] == 'b' ? "b" : "a", id[0] == 's', 1, ++counter, 0, -1, {}};
+    void add_machine(const std::string& id, std::vector<ReportedTask> tasks = {}) {
+        Heartbeat r{id, id, "m8", id[0] == 'b' ? "b" : "a", id[0] == 's', 1, ++counter, 0, -1, std::move(tasks)};
         cluster.receive_heartbeat(HeartbeatReceived{r, counter});
     }
     const cluster::Job& add(const JobSpec& s, bool waiting = false) {
@@ -91,6 +91,32 @@
     EXPECT_EQ(d.cluster.view().teams[0].used.cpus, 40);
 }
 
+// An ended task takes room until a heartbeat no longer lists it, even though its CPUs and memory are free.
+TEST(ClusterState, RoomInTheHeartbeatIsFreedByTheReapNotByTheExit) {
+    ClusterFixture d;
+    auto spec = job(1, Shape::array, 3000, 0.006);
+    spec.each.memory_gb = 0.02;
+    const auto& small = d.add(spec);
+    const auto& machine = d.machine("a1");
+    const auto fill = [&] { // returns how many tasks were placed
+        int placed = 0;
+        while (d.refusal(small, "a1").empty())
+            ++placed;
+        EXPECT_STREQ(d.cluster.view().refusal(small, machine), "no room");
+        return placed;
+    };
+    const int room = fill();
+    EXPECT_GT(machine.total.cpus - machine.used.cpus, 1);
+    std::vector<ReportedTask> ended;
+    for (const auto& entry : machine.entries)
+        ended.push_back({spec.id, entry->index, entry->attempt, TaskState::ended, ExitCause::done, false});
+    d.add_machine("a1", ended);
+    EXPECT_TRUE(machine.entries.empty());
+    EXPECT_LT(fill(), room / 50); // short indices take less room than was assumed for the longest
+    d.add_machine("a1");
+    EXPECT_GT(fill(), room * 9 / 10);
+}
+
 TEST(ClusterState, RefusesWaitingAndFinishedJobsAndMachinesInRelease) {
     ClusterFixture d;
     auto s = job(2, Shape::array, 2, 1);
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -1,5 +1,4 @@
 #include "heronshift/codec.hpp"
-#include "protocol_limits.hpp"
 
 #include <gtest/gtest.h>
 
@@ -82,7 +81,7 @@
     const auto empty = codec::orders(0, {}).size();
     for (const auto verb : {Verb::launch, Verb::stop, Verb::reap}) {
         const Order order{verb, "wk-" + std::string(37, '9'), codec::max_tasks - 1, UINT64_MAX, 1e7 / 3e9};
-        EXPECT_LE(codec::orders(0, std::vector<Order>(100, order)).size() - empty, 100 * max_order_bytes);
+        EXPECT_LE(codec::orders(0, std::vector<Order>(100, order)).size() - empty, 100 * codec::max_order_bytes);
     }
 }
 
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -92,6 +92,30 @@
     EXPECT_EQ(s.core.live_tasks("wk-000001"), 1U);
 }
 
+// Answers to heartbeats are limited like heartbeats. An earlier version placed more tasks of a job that was then
+// cancelled than one answer can stop, and tasks that are to be reaped are listed as well.
+TEST(Core, AnAnswerNamesNoMoreTasksThanALineMayHave) {
+    const auto settings = small_settings();
+    auto spec = job(1, Shape::array, 3000, 0.006);
+    spec.id = "wk-" + std::string(37, '7');
+    Snapshot stored;
+    stored.jobs.push_back({"j/" + spec.id, {{"spec", codec::to_json(spec)}, {"at", 0.0}}, 1, false});
+    stored.intents.push_back({"i/3", {{"t", "n-1 a 1 " + spec.id + "/0-1499:18446744073709551615"}}, 1, false});
+    Core core(settings, 7, stored, 0, 0);
+    std::vector<ReportedTask> ended;
+    for (std::uint32_t index = 2000; index < 2300; ++index)
+        ended.push_back({spec.id, index, UINT64_MAX, TaskState::ended, ExitCause::stopped, false});
+    std::vector<Command> q{CancellationRequested{spec.id, 1},
+                           HeartbeatReceived{OneTask::heartbeat(2, std::uint64_t{6} << token_counter_bits, ended), 1}};
+    const auto answers = effects_of<AnswerHeartbeat>(core.step(q, 0.1, 0.1));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].status, 200);
+    EXPECT_EQ(answers[0].orders.back().verb, Verb::stop); // stops have a deadline, reaps have none
+    const auto bytes = codec::orders(answers[0].fencing_token, answers[0].orders).size();
+    EXPECT_LE(bytes, max_response_line_bytes);
+    EXPECT_GT(bytes, max_response_line_bytes / 2);
+}
+
 TEST(Core, AfterAFailoverOnlyAHeartbeatThatHasSeenOurTermClearsAnIntent) {
     const auto settings = small_settings();
     Snapshot stored;
--- a/tests/test_heartbeat_length.cpp
+++ b/tests/test_heartbeat_length.cpp
@@ -1,6 +1,5 @@
 // A heartbeat lists all tasks on a machine and is a request, whose length is limited. A machine with more tasks than
 // fit into one cannot report: its lease ends, all its tasks are lost, and they would be placed there again.
-#include "no_persistence.hpp"
 #include "simulated_cluster.hpp"
 
 #include <gtest/gtest.h>
@@ -140,78 +139,5 @@
     EXPECT_EQ(c.lease_expirations, 1); // that of the machine that was too full
 }
 
-// Answers to heartbeats are limited like heartbeats. An earlier version placed more tasks of a job that was then
-// cancelled than one answer can stop, and tasks that are to be reaped are listed as well.
-TEST(HeartbeatLength, AnAnswerNamesNoMoreTasksThanALineMayHave) {
-    const auto settings = small_settings();
-    const std::string id = "wk-" + std::string(37, '7');
-    auto spec = job(1, Shape::array, 3000, SmallTasks::cpus);
-    spec.id = id;
-    Snapshot stored;
-    stored.jobs.push_back({"j/" + id, {{"spec", codec::to_json(spec)}, {"at", 0.0}, {"final", "withdrawn"}}, 1, false});
-    stored.intents.push_back({"i/3", {{"t", "n-1 a 1 " + id + "/0-1499:18446744073709551615"}}, 1, false});
-    Core core(settings, 7, stored, 0, 0);
-    std::vector<ReportedTask> ended;
-    for (std::uint32_t index = 2000; index < 2300; ++index)
-        ended.push_back({id, index, UINT64_MAX, TaskState::ended, ExitCause::stopped, false});
-    std::vector<Command> commands{CancellationRequested{id, 1}};
-    core.step(commands, 0.05, 0.05);
-    commands = {HeartbeatReceived{
-        {"n-1", "n-1", "m8", "a", true, 1, 2, std::uint64_t{6} << token_counter_bits, -1, std::move(ended)}, 1}};
-    std::size_t answers = 0;
-    for (const auto& effect : core.step(commands, 0.1, 0.1)) {
-        const auto* answer = std::get_if<AnswerHeartbeat>(&effect);
-        if (answer == nullptr)
-            continue;
-        ++answers;
-        EXPECT_EQ(answer->status, 200);
-        EXPECT_EQ(answer->orders.back().verb, Verb::stop); // stops have a deadline, reaps have none
-        const auto bytes = codec::orders(answer->fencing_token, answer->orders).size();
-        EXPECT_LE(bytes, max_response_line_bytes);
-        EXPECT_GT(bytes, max_response_line_bytes / 2);
-    }
-    EXPECT_EQ(answers, 1U);
-}
-
-// An ended task takes room until a heartbeat no longer lists it, even though its CPUs and memory are free.
-TEST(HeartbeatLength, RoomIsFreedByTheReapNotByTheExit) {
-    Settings settings = small_settings();
-    std::vector<Effect> effects;
-    NoPersistence persistence;
-    cluster::ClusterState cluster(settings, 1, 0, 0, effects);
-    cluster.set_persistence(persistence);
-    cluster.types_known(small_types());
-    std::uint64_t counter = 0;
-    const auto report = [&](std::vector<ReportedTask> tasks) {
-        const auto token = std::uint64_t{1} << token_counter_bits;
-        ++counter;
-        cluster.receive_heartbeat({{"n-1", "n-1", "m8", "a", true, 1, counter, token, -1, std::move(tasks)}, counter});
-    };
-    report({});
-    auto spec = job(1, Shape::array, 3000, SmallTasks::cpus);
-    spec.each.memory_gb = SmallTasks::memory_gb;
-    JobStored stored{spec, 0, -1, false};
-    cluster.add_job(stored);
-    const auto& known = *cluster.view().find_job(spec.id);
-    const auto& machine = *cluster.view().machines.at("n-1");
-    const auto fill = [&] { // returns how many tasks were placed
-        int placed = 0;
-        while (cluster.place(known, machine))
-            ++placed;
-        EXPECT_STREQ(cluster.view().refusal(known, machine), "no room");
-        return placed;
-    };
-    const int room = fill();
-    EXPECT_GT(machine.total.cpus - machine.used.cpus, 1);
-    std::vector<ReportedTask> ended;
-    for (const auto& entry : machine.entries)
-        ended.push_back({spec.id, entry->index, entry->attempt, TaskState::ended, ExitCause::done, false});
-    report(ended);
-    EXPECT_TRUE(machine.entries.empty());
-    EXPECT_LT(fill(), room / 50); // short indices take less room than was assumed for the longest
-    report({});
-    EXPECT_GT(fill(), room * 9 / 10);
-}
-
 } // namespace
 } // namespace heronshift::testing
